--- a/brain/example_test.go
+++ b/brain/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"ospreytiller/brain"
+	"shelfproxy/brain"
 )
 
 func Example() {
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"ospreytiller/internal/wire"
+	"shelfproxy/internal/wire"
 )
 
 func main() {
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"io"
 
-	"ospreytiller/brain"
+	"shelfproxy/brain"
 )
 
 // Host runs routers over the wire until in ends, one reply line for each batch. Routers share only the
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"ospreytiller/brain"
+	"shelfproxy/brain"
 )
 
 // Batch is one line of input: what happened at one time.
