--- /dev/null
+++ b/cmd/shelfproxy/main.go
@@ -0,0 +1,132 @@
+// Command shelfproxy is one node between clients, cache servers and an origin. See the README.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"shelfproxy/internal/config"
+	"shelfproxy/internal/counters"
+	"shelfproxy/internal/discovery"
+	"shelfproxy/internal/forward"
+	"shelfproxy/internal/listener"
+	"shelfproxy/internal/node"
+	"shelfproxy/internal/origin"
+	"shelfproxy/internal/target"
+)
+
+func main() {
+	check := flag.Bool("check", false, "read the configuration, say whether it is good, and end")
+	flag.Usage = func() {
+		fmt.Fprintln(flag.CommandLine.Output(), "usage: LB_CONFIG=FILE shelfproxy [-check]")
+		flag.PrintDefaults()
+	}
+	flag.Parse()
+	if err := run(*check); err != nil {
+		fmt.Fprintln(os.Stderr, "shelfproxy:", err)
+		os.Exit(1)
+	}
+}
+
+// After SIGTERM clients go on for a moment: new connections keep coming for up to 0.4 s. The kill comes no
+// sooner than the longest deadline (3 s where it is longer) and 0.7 s after it.
+const (
+	grace       = 600 * time.Millisecond
+	longest     = 3 * time.Second
+	killReserve = 300 * time.Millisecond // before longest + 0.7 s
+)
+
+func run(check bool) error {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	if check {
+		fmt.Println("configuration is good")
+		return nil
+	}
+	if cfg.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	}
+	// The collector keeps well under the limit on memory, past which the node is killed.
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 6 / 10)
+
+	classes := make([]string, len(cfg.Module.Classes))
+	for i, c := range cfg.Module.Classes {
+		classes[i] = c.Name
+	}
+	ends := make([]string, forward.Ends())
+	for i := range ends {
+		ends[i] = forward.End(i).String()
+	}
+	count := counters.New(classes, []string{"served", "refused", "failed", "invalid"}, ends)
+
+	// Descriptors: a part is for discovery, the log and the runtime, the rest is divided.
+	sockets := cfg.Sockets - 32
+	targets, clients, origins := forward.NewBudget(sockets*3/10), sockets/2, sockets/10
+	limits := forward.Limits{Connect: cfg.Node.ConnectTimeout, Idle: cfg.Node.ConnIdle * 8 / 10,
+		Streams: cfg.Node.Streams, Conns: 64, Waiting: 512}
+	originLimits := limits
+	originLimits.Streams, originLimits.Conns = 1, origins
+
+	n, err := node.New(node.Options{Module: cfg.Module, Seed: cfg.Seed, MaxOpen: cfg.Node.MaxOpen,
+		Known: cfg.Known, Source: &discovery.Client{Addr: cfg.Discovery}, Count: count, Log: os.Stderr,
+		Upstream: func(s discovery.Server, isOrigin bool, report func(*forward.Forward, forward.Answer)) node.Upstream {
+			if isOrigin {
+				return forward.NewPool(s.Addr, origin.Codec{Host: s.Addr}, originLimits,
+					forward.NewBudget(origins), report, func() { count.OriginOpened.Add(1) })
+			}
+			return forward.NewPool(s.Addr, target.Codec{}, limits, targets, report, func() { count.Opened.Add(1) })
+		}})
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	l := listener.New(ln, n, classes, listener.Limits{Conns: clients, Pipelined: 128, Value: 64 << 10,
+		Write: 10 * time.Second}, count)
+
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	stop := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		n.Run(stop)
+		close(ended)
+	}()
+	go l.Serve()
+
+	for s := range signals {
+		if s != syscall.SIGUSR1 {
+			break
+		}
+		fmt.Fprint(os.Stderr, count)
+	}
+	last := time.Now().Add(min(cfg.Node.LongestWait, longest) + 700*time.Millisecond - killReserve)
+	time.Sleep(grace)
+	l.Close()
+	answered := make(chan struct{})
+	go func() {
+		<-n.Drain(last)
+		l.Wait()
+		close(answered)
+	}()
+	select {
+	case <-answered:
+	case <-time.After(time.Until(last) + killReserve*2/3):
+	}
+	close(stop)
+	<-ended
+	fmt.Fprint(os.Stderr, count)
+	return nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,145 @@
+// Package config reads what a node is told at its start.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"shelfproxy/brain"
+	"shelfproxy/internal/discovery"
+	"shelfproxy/internal/wire"
+)
+
+// Config is a node's configuration.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Cores                   float64
+	MemoryMB, Sockets       int
+	Known                   discovery.List
+	Module                  brain.Settings
+	Node                    Node
+}
+
+// Node holds the settings that the sockets need and the module does not.
+type Node struct {
+	MaxOpen        int
+	Streams        int // forwards on one connection
+	ConnectTimeout time.Duration
+	ConnIdle       time.Duration
+	LongestWait    time.Duration // longest deadline of a class
+}
+
+// Load reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN and LB_DISCOVERY stand in for what it lacks. An
+// error names the field.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return nil, errors.New("LB_CONFIG: not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %s: not JSON: %w", path, err)
+	}
+	c := &Config{Name: str(v, "name", getenv("LB_NAME")), Listen: str(v, "listen", getenv("LB_LISTEN")),
+		Discovery: str(v, "discovery", getenv("LB_DISCOVERY"))}
+	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return nil, fmt.Errorf("%s: %q is no host and port", a.field, a.addr)
+		}
+	}
+	if seed := str(v, "seed", ""); seed != "" {
+		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %q is not 64 bits in hex", seed)
+		}
+	}
+	if c.Cores = v.GetFloat64("limits", "cores"); c.Cores < 0 {
+		return nil, errors.New("limits.cores: negative")
+	}
+	if c.MemoryMB, err = number(v, 192, 32, "limits", "memory_mb"); err != nil {
+		return nil, err
+	}
+	if c.Sockets, err = number(v, 1024, 128, "limits", "sockets"); err != nil {
+		return nil, err
+	}
+	if known := v.Get("known"); known != nil {
+		if c.Known, err = discovery.Parse(known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	set := v.Get("settings")
+	if set == nil {
+		return nil, errors.New("settings: missing")
+	}
+	if c.Module, err = wire.ParseSettings(set.MarshalTo(nil)); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if c.Node, err = node(set); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return c, nil
+}
+
+func node(set *fastjson.Value) (Node, error) {
+	var n Node
+	var err error
+	if n.MaxOpen, err = number(set, 20000, 1, "limits", "max_open"); err != nil {
+		return n, err
+	}
+	if n.Streams, err = number(set, 1, 1, "limits", "streams_per_conn"); err != nil {
+		return n, err
+	}
+	connect, err := number(set, 250_000, 1, "limits", "connect_timeout")
+	if err != nil {
+		return n, err
+	}
+	idle, err := number(set, 30_000_000, 1, "limits", "conn_idle")
+	if err != nil {
+		return n, err
+	}
+	n.ConnectTimeout, n.ConnIdle = micros(connect), micros(idle)
+	for i, lane := range set.GetArray("lanes") {
+		wait, err := number(lane, 0, 1, "deadline")
+		if err != nil {
+			return n, fmt.Errorf("lanes[%d].%w", i, err)
+		}
+		n.LongestWait = max(n.LongestWait, micros(wait))
+	}
+	return n, nil
+}
+
+func micros(us int) time.Duration { return time.Duration(us) * time.Microsecond }
+
+func str(v *fastjson.Value, field, otherwise string) string {
+	if b := v.GetStringBytes(field); b != nil {
+		return string(b)
+	}
+	return otherwise
+}
+
+// number reads a whole number that may be left out.
+func number(v *fastjson.Value, otherwise, least int, path ...string) (int, error) {
+	name := path[0]
+	for _, p := range path[1:] {
+		name += "." + p
+	}
+	f := v.Get(path...)
+	if f == nil {
+		return otherwise, nil
+	}
+	n, err := f.Float64()
+	if err != nil || n < float64(least) || n > 1<<52 {
+		return 0, fmt.Errorf("%s: %s is not a number from %d", name, f.MarshalTo(nil), least)
+	}
+	return int(n), nil
+}
--- /dev/null
+++ b/internal/counters/counters.go
@@ -0,0 +1,77 @@
+// Package counters counts what the node takes in, sends and answers.
+package counters
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+)
+
+// Counters may be used from any goroutine.
+type Counters struct {
+	Accepted, AcceptFailed, WriteFailed   atomic.Int64 // the clients' connections
+	Malformed, BadFraming, Duplicate      atomic.Int64 // commands that are no request
+	Opened, OriginOpened                  atomic.Int64 // connections to servers
+	Probes, Watches, Lists, WatchesBroken atomic.Int64
+	Late                                  atomic.Int64 // answers of servers that came after their flow's end
+	Gone                                  atomic.Int64 // flows whose client left first
+	classes                               []string
+	answers                               []string
+	ends                                  []string
+	in, sent                              []atomic.Int64 // by class
+	answered                              []atomic.Int64 // by class and answer
+	ended                                 []atomic.Int64 // by class and end
+}
+
+// New makes counters for these classes, kinds of final answers and ends of forwards.
+func New(classes, answers, ends []string) *Counters {
+	n := len(classes)
+	return &Counters{classes: classes, answers: answers, ends: ends, in: make([]atomic.Int64, n),
+		sent: make([]atomic.Int64, n), answered: make([]atomic.Int64, n*len(answers)),
+		ended: make([]atomic.Int64, n*len(ends))}
+}
+
+// In counts a flow that was taken.
+func (c *Counters) In(class int) { c.in[class].Add(1) }
+
+// Sent counts a forward.
+func (c *Counters) Sent(class int) { c.sent[class].Add(1) }
+
+// Answered counts a final answer.
+func (c *Counters) Answered(class, answer int) { c.answered[class*len(c.answers)+answer].Add(1) }
+
+// Ended counts the end of a forward.
+func (c *Counters) Ended(class, end int) { c.ended[class*len(c.ends)+end].Add(1) }
+
+// String is all counters, one name and figure a line.
+func (c *Counters) String() string {
+	var b strings.Builder
+	line := func(n *atomic.Int64, name string, args ...any) {
+		fmt.Fprintf(&b, name+" %d\n", append(args, n.Load())...)
+	}
+	line(&c.Accepted, "listener_accepted")
+	line(&c.AcceptFailed, "listener_accept_failed")
+	line(&c.WriteFailed, "listener_write_failed")
+	line(&c.Malformed, "commands_malformed")
+	line(&c.BadFraming, "commands_bad_framing")
+	line(&c.Duplicate, "commands_duplicate")
+	line(&c.Opened, "target_connections_opened")
+	line(&c.OriginOpened, "origin_connections_opened")
+	line(&c.Probes, "probes_sent")
+	line(&c.Watches, "discovery_watches")
+	line(&c.WatchesBroken, "discovery_watches_broken")
+	line(&c.Lists, "discovery_lists")
+	line(&c.Late, "answers_late")
+	line(&c.Gone, "flows_client_left")
+	for i, class := range c.classes {
+		line(&c.in[i], "flows_in{class=%q}", class)
+		line(&c.sent[i], "forwards_sent{class=%q}", class)
+		for j, answer := range c.answers {
+			line(&c.answered[i*len(c.answers)+j], "flows_answered{class=%q,answer=%q}", class, answer)
+		}
+		for j, end := range c.ends {
+			line(&c.ended[i*len(c.ends)+j], "forwards_ended{class=%q,end=%q}", class, end)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/flow/flow.go
@@ -0,0 +1,44 @@
+// Package flow holds what a listener and the node say to each other of a request, whatever protocol the
+// listener speaks.
+package flow
+
+import "time"
+
+// Flow is one request that was taken from a client. Its byte slices point into the buffer that the command
+// was read into, which nothing writes to again.
+type Flow struct {
+	Key, ID []byte
+	Class   string
+	Extras  []byte // the list of names and values as it arrived
+	Write   bool
+	Value   []byte // of a write
+	Taken   time.Time
+	Wait    time.Duration // how long the client waits, from when it sent the request
+	// Reply takes the final answer. The node calls it once and never waits in it.
+	Reply func(Response)
+}
+
+// Kind says what a final answer is.
+type Kind int
+
+// The kinds of final answers.
+const (
+	Served  Kind = iota
+	Refused      // fixed response: trying again is harmless
+	Failed       // promises nothing
+	Invalid      // the request makes no sense to the node; Text says why
+)
+
+// Response is the final answer of a flow.
+type Response struct {
+	Kind       Kind
+	Value      []byte        // Served
+	RetryAfter time.Duration // Refused: how long the client should keep away; 0 is no advice
+	Text       string        // Invalid
+}
+
+// Sink takes what a listener reads. Its methods may wait and must not be called from the node's own loop.
+type Sink interface {
+	Take(*Flow)
+	Gone(*Flow) // the client left before the answer
+}
--- /dev/null
+++ b/internal/forward/end.go
@@ -0,0 +1,51 @@
+// Package forward is the life of one attempt at a server: from the pool that finds it a connection to the one
+// value that says how it ended.
+package forward
+
+import "shelfproxy/brain"
+
+// End is every way in which a forward, or the connection under it, can end.
+type End int
+
+// The ends of a forward.
+const (
+	Served    End = iota
+	Missed        // the server has no value for the key
+	Errored       // the server answered with an error; the work may have been done
+	Busy          // turned away unseen by the server
+	NotSent       // never written: its time was over, or there was no room to wait in
+	Drained       // never written: its server left the list while the forward waited for a connection
+	NoConnect     // no connection came up in time
+	CutShort      // the connection broke before the last byte was written
+	Broken        // the connection ended after the last byte may have been written
+	Garbage       // the server sent what is no answer, and its connection was closed
+	TimedOut      // no answer by the flow's deadline
+	Cancelled     // given up by the module
+	numberOfEnds
+)
+
+// Ends lists all ends, for counting by end.
+func Ends() int { return int(numberOfEnds) }
+
+var ends = [numberOfEnds]struct {
+	name   string
+	reason brain.Reason
+}{
+	Served:    {"served", brain.OK},
+	Missed:    {"missed", brain.Miss},
+	Errored:   {"errored", brain.Errored},
+	Busy:      {"busy", brain.Rejected},
+	NotSent:   {"not_sent", brain.Moot},
+	Drained:   {"drained", brain.Rejected}, // as the server itself would have answered
+	NoConnect: {"no_connect", brain.NoConnection},
+	CutShort:  {"cut_short", brain.NoConnection},
+	Broken:    {"broken", brain.Reset},
+	Garbage:   {"garbage", brain.Reset},
+	TimedOut:  {"timed_out", brain.TimedOut},
+	Cancelled: {"cancelled", brain.Cancelled},
+}
+
+// Reason is the outcome that the module is told. This is the only place where ends become outcomes.
+func (e End) Reason() brain.Reason { return ends[e].reason }
+
+func (e End) String() string { return ends[e].name }
--- /dev/null
+++ b/internal/forward/pool.go
@@ -0,0 +1,391 @@
+package forward
+
+import (
+	"errors"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"shelfproxy/internal/flow"
+)
+
+// Forward is one attempt of a flow at a server, or a probe of it.
+type Forward struct {
+	Flow     *flow.Flow // nil for a probe
+	Attempt  int
+	Server   string
+	Sent     time.Time // when the node handed it to the pool
+	Deadline time.Time
+
+	// Under the pool's lock.
+	conn    *conn
+	written bool // its first byte may be out
+	given   bool // given up: its answer is read and dropped
+}
+
+// Answer is what a server sent for a forward.
+type Answer struct {
+	End   End
+	Value []byte // Served: the value or receipt
+	Load  []byte // the load report, if one came
+	Close bool   // the server ends the connection after this answer
+}
+
+// Reader reads answers from one connection, in order. Wait blocks until the first byte of an answer is there.
+type Reader interface {
+	Wait() error
+	Read() (Answer, error)
+}
+
+// ErrGarbage is returned by a Reader for bytes that are no answer.
+var ErrGarbage = errors.New("no answer of this protocol")
+
+// Codec is what differs between protocols.
+type Codec interface {
+	// Append appends the request's bytes.
+	Append(b []byte, f *Forward, now time.Time) []byte
+	NewReader(net.Conn) Reader
+}
+
+// Limits bound a pool.
+type Limits struct {
+	Connect time.Duration // a connection not up by then never comes up
+	Idle    time.Duration // idle connections are closed after this, before the server does it
+	Streams int           // forwards on one connection
+	Conns   int           // connections of one pool
+	Waiting int           // forwards that wait for a connection
+}
+
+// Budget counts the descriptors that several pools share.
+type Budget struct{ left atomic.Int64 }
+
+// NewBudget returns a budget of n descriptors.
+func NewBudget(n int) *Budget {
+	b := &Budget{}
+	b.left.Store(int64(n))
+	return b
+}
+
+func (b *Budget) take() bool {
+	if b.left.Add(-1) >= 0 {
+		return true
+	}
+	b.left.Add(1)
+	return false
+}
+
+func (b *Budget) give() { b.left.Add(1) }
+
+// own is how many connections a pool may hold beside the shared budget, so that no server is out of reach
+// because others took it all.
+const own = 2
+
+// Pool holds the connections to one server. Its methods never wait on a socket.
+type Pool struct {
+	codec  Codec
+	limits Limits
+	budget *Budget
+	report func(*Forward, Answer)
+	opened func()
+
+	mu      sync.Mutex
+	addr    string
+	conns   []*conn
+	idle    []*conn // the one used last is at the end
+	waiting []*Forward
+	dialing int
+	left    bool // the server drains or is gone: nothing new is written
+}
+
+// NewPool makes a pool. report is called from the pool's goroutines, once for each forward that ends by
+// itself; opened for each new connection.
+func NewPool(addr string, codec Codec, limits Limits, budget *Budget, report func(*Forward, Answer),
+	opened func()) *Pool {
+	return &Pool{addr: addr, codec: codec, limits: limits, budget: budget, report: report, opened: opened}
+}
+
+type conn struct {
+	pool    *Pool
+	net     net.Conn
+	shared  bool // counted in the budget
+	queue   chan *Forward
+	pending []*Forward // in the order of their answers
+	closed  bool
+	end     End // why it closed, for those pending
+}
+
+// Send starts a forward. When it returns false the forward has ended already, as the End says.
+func (p *Pool) Send(f *Forward) (End, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.left {
+		return Drained, false
+	}
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		c.net.SetReadDeadline(time.Time{})
+		c.push(f)
+		return 0, true
+	}
+	if p.dial() {
+		p.waiting = append(p.waiting, f)
+		return 0, true
+	}
+	// No more connections may be opened. Answers come in order, so a forward is put behind as few as possible.
+	var best *conn
+	for _, c := range p.conns {
+		if !c.closed && len(c.pending) < p.limits.Streams && (best == nil || len(c.pending) < len(best.pending)) {
+			best = c
+		}
+	}
+	switch {
+	case best != nil:
+		best.push(f)
+	case len(p.waiting) < p.limits.Waiting:
+		p.waiting = append(p.waiting, f)
+	default:
+		return NotSent, false
+	}
+	return 0, true
+}
+
+// Abandon gives a forward up and tells whether any of it may have been written. Its connection is closed,
+// which tells the server, unless others wait for answers on it: those must not be killed.
+func (p *Pool) Abandon(f *Forward) (written bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f.given = true
+	p.waiting = slices.DeleteFunc(p.waiting, func(w *Forward) bool { return w == f })
+	if c := f.conn; c != nil && !slices.ContainsFunc(c.pending, func(o *Forward) bool { return !o.given }) {
+		c.close(Broken)
+	}
+	return f.written
+}
+
+// CloseIdle closes the connections that nothing waits on.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range slices.Clone(p.idle) {
+		c.close(Broken)
+	}
+}
+
+// Update says where the server is now and whether it takes new work. Forwards that have not been written to a
+// server that left end as Drained: those that waited for a connection are returned, the others reported.
+func (p *Pool) Update(addr string, left bool) (drained []*Forward) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if addr != p.addr {
+		for _, c := range slices.Clone(p.idle) {
+			c.close(Broken)
+		}
+	}
+	p.addr, p.left = addr, left
+	if left {
+		drained, p.waiting = p.waiting, nil
+		for _, c := range slices.Clone(p.idle) {
+			c.close(Broken)
+		}
+	}
+	return drained
+}
+
+// dial opens a connection if the limits allow one more.
+func (p *Pool) dial() bool {
+	n := len(p.conns) + p.dialing
+	if n >= p.limits.Conns {
+		return false
+	}
+	shared := n >= own
+	if shared && !p.budget.take() {
+		return false
+	}
+	p.dialing++
+	go p.connect(p.addr, shared)
+	return true
+}
+
+func (p *Pool) connect(addr string, shared bool) {
+	nc, err := net.DialTimeout("tcp", addr, p.limits.Connect)
+	p.mu.Lock()
+	p.dialing--
+	if err != nil {
+		if shared {
+			p.budget.give()
+		}
+		var failed *Forward
+		if len(p.waiting) > 0 {
+			failed, p.waiting = p.waiting[0], p.waiting[1:]
+		}
+		p.mu.Unlock()
+		if failed != nil {
+			p.report(failed, Answer{End: NoConnect})
+		}
+		return
+	}
+	c := &conn{pool: p, net: nc, shared: shared, queue: make(chan *Forward, p.limits.Streams)}
+	p.conns = append(p.conns, c)
+	p.opened()
+	go c.write()
+	go c.read()
+	c.next()
+	p.mu.Unlock()
+}
+
+// push gives a forward to a connection that has room for it.
+func (c *conn) push(f *Forward) {
+	f.conn = c
+	c.pending = append(c.pending, f)
+	c.queue <- f // holds as many as may be pending
+}
+
+// next gives a connection without work the longest waiting forward, or makes it idle.
+func (c *conn) next() {
+	p := c.pool
+	switch {
+	case c.closed || len(c.pending) > 0:
+	case p.left:
+		c.close(Broken)
+	case len(p.waiting) > 0:
+		f := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		c.push(f)
+	default:
+		c.net.SetReadDeadline(time.Now().Add(p.limits.Idle))
+		p.idle = append(p.idle, c)
+	}
+}
+
+// close ends a connection; the reading goroutine reports what was pending on it.
+func (c *conn) close(end End) {
+	if c.closed {
+		return
+	}
+	p := c.pool
+	c.closed, c.end = true, end
+	p.conns = slices.DeleteFunc(p.conns, func(o *conn) bool { return o == c })
+	p.idle = slices.DeleteFunc(p.idle, func(o *conn) bool { return o == c })
+	c.net.Close()
+	close(c.queue)
+}
+
+func (c *conn) write() {
+	p := c.pool
+	var buf []byte
+	for f := range c.queue {
+		now := time.Now()
+		p.mu.Lock()
+		// The list may have changed since the forward was queued here, and its flow may be over.
+		skip := c.closed || p.left || f.given
+		f.written = !skip
+		if skip && !c.closed {
+			c.pending = slices.DeleteFunc(c.pending, func(o *Forward) bool { return o == f })
+			c.next()
+		}
+		drained := skip && !c.closed && !f.given
+		p.mu.Unlock()
+		if drained {
+			p.report(f, Answer{End: Drained})
+		}
+		if skip {
+			continue
+		}
+		buf = p.codec.Append(buf[:0], f, now)
+		c.net.SetWriteDeadline(f.Deadline)
+		if n, err := c.net.Write(buf); err != nil {
+			p.mu.Lock()
+			if n < len(buf) {
+				f.written = false // its last byte never left
+			}
+			c.close(Broken)
+			p.mu.Unlock()
+		}
+		if cap(buf) > 32<<10 {
+			buf = nil
+		}
+	}
+}
+
+func (c *conn) read() {
+	p := c.pool
+	r := p.codec.NewReader(c.net)
+	end := Broken
+	for {
+		err := r.Wait()
+		p.mu.Lock()
+		if errors.Is(err, os.ErrDeadlineExceeded) && len(c.pending) > 0 && !c.closed {
+			p.mu.Unlock() // it was put to use as its idle time ended
+			continue
+		}
+		if err == nil && (len(c.pending) == 0 || !c.pending[0].written) {
+			err = ErrGarbage // an answer to nothing
+		}
+		p.mu.Unlock()
+		var a Answer
+		if err == nil {
+			a, err = r.Read()
+		}
+		if err != nil {
+			if errors.Is(err, ErrGarbage) {
+				end = Garbage
+			}
+			break
+		}
+		p.mu.Lock()
+		if c.closed {
+			p.mu.Unlock()
+			break
+		}
+		f := c.pending[0]
+		if f.Flow != nil && a.End == Served && a.Value == nil {
+			end = Garbage // a PONG, say, serves nobody
+			p.mu.Unlock()
+			break
+		}
+		c.pending = c.pending[1:]
+		if a.Close {
+			c.close(Broken)
+		}
+		if !c.closed && len(c.pending) > 0 && !slices.ContainsFunc(c.pending, func(o *Forward) bool { return !o.given }) {
+			c.close(Broken) // the rest was given up
+		}
+		given := f.given
+		c.next()
+		p.mu.Unlock()
+		if !given {
+			p.report(f, a)
+		}
+		if a.Close {
+			break
+		}
+	}
+	p.mu.Lock()
+	c.close(end)
+	pending := c.pending
+	c.pending = nil
+	if c.shared {
+		p.budget.give()
+	}
+	// Forwards may wait for a connection that this one's end makes room for.
+	if len(p.waiting) > p.dialing {
+		p.dial()
+	}
+	p.mu.Unlock()
+	for _, f := range pending {
+		p.mu.Lock()
+		given, written := f.given, f.written
+		p.mu.Unlock()
+		switch {
+		case given:
+		case written:
+			p.report(f, Answer{End: c.end})
+		default:
+			p.report(f, Answer{End: CutShort})
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/servers.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"time"
+
+	"shelfproxy/brain"
+	"shelfproxy/internal/discovery"
+	"shelfproxy/internal/forward"
+)
+
+var serverStates = map[discovery.State]brain.ServerState{discovery.Up: brain.Live,
+	discovery.Draining: brain.Draining, discovery.Removed: brain.Dead}
+
+// list takes news of the list: the pools learn of it first, so that nothing queued before goes to a server that
+// has left, then the module.
+func (n *Node) list(l discovery.List, scope brain.ListScope) {
+	n.version = l.Version
+	event := brain.List{Scope: scope}
+	named := map[string]bool{}
+	for _, d := range l.Servers {
+		named[d.ID] = true
+		event.Servers = append(event.Servers, brain.Server{ID: d.ID, Zone: d.Zone, Kind: d.Kind, Cell: d.Cell,
+			State: serverStates[d.State], Units: d.Weight, Started: time.Duration(d.StartedMs) * time.Millisecond})
+		s := n.servers[d.ID]
+		if s == nil {
+			s = &server{Server: d}
+			origin := n.opt.Module.OriginKind != "" && d.Kind == n.opt.Module.OriginKind
+			s.up = n.opt.Upstream(d, origin, n.report)
+			n.servers[d.ID] = s
+		}
+		addr := d.Addr
+		if d.State == discovery.Removed && addr == "" {
+			addr = s.Addr
+		}
+		s.Server, s.Addr = d, addr
+		n.leave(s, addr, d.State != discovery.Up)
+	}
+	if scope != brain.Changes {
+		for id, s := range n.servers {
+			if !named[id] {
+				s.State = discovery.Removed
+				n.leave(s, s.Addr, true)
+			}
+		}
+	}
+	n.tell(event)
+}
+
+// leave updates a server's pool.
+func (n *Node) leave(s *server, addr string, left bool) {
+	for _, f := range s.up.Update(addr, left) {
+		n.landed(f, forward.Answer{End: forward.Drained})
+	}
+}
+
+// report is what pools call with the end of a forward.
+func (n *Node) report(f *forward.Forward, a forward.Answer) {
+	n.post(n.queue, func() { n.landed(f, a) })
+}
+
+func (n *Node) landed(f *forward.Forward, a forward.Answer) {
+	if f.Flow == nil {
+		if srv := n.servers[f.Server]; srv != nil {
+			n.probed(srv, f, a.End)
+		}
+		return
+	}
+	n.reported(f, a)
+}
+
+// subscribe starts a watch. While a healthy one runs there is nothing to ask for.
+func (n *Node) subscribe() {
+	if n.healthy {
+		return
+	}
+	if n.stopWatch != nil {
+		n.stopWatch()
+	}
+	n.opt.Count.Watches.Add(1)
+	n.watch++
+	number := n.watch
+	n.stopWatch = n.opt.Source.Watch(n.version, func(l discovery.List, err error) {
+		n.post(n.lists, func() { n.watched(number, l, err) })
+	})
+}
+
+// watched takes a report of a watch. One that broke is told to the module, which asks anew in its own time.
+func (n *Node) watched(number int, l discovery.List, err error) {
+	switch {
+	case number != n.watch:
+	case err != nil:
+		n.opt.Count.WatchesBroken.Add(1)
+		n.logf("watch: %v", err)
+		n.healthy, n.watch = false, n.watch+1
+		n.tell(brain.List{Scope: brain.Failed})
+	default:
+		n.opt.Count.Lists.Add(1)
+		n.healthy = true
+		scope := brain.Changes
+		if l.Whole {
+			scope = brain.Full
+		}
+		n.list(l, scope)
+	}
+}
