Refuse bulk misses from a utilisation of 0.45 on, the next buckets from 0.55

The heavy tail of fetches passes three normal medians more often than that by itself (brain.go, thresholds).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -44,7 +44,7 @@
 
 // thresholds give the utilisation of the target past which a bucket's misses are refused, all of them at
 // twice that. Writes never are, and critical reads only by criticalMax.
-var thresholds = [...]float64{critical: math.Inf(1), degraded: 0.35, bestEffort: 0.35, bulk: 0.1}
+var thresholds = [...]float64{critical: math.Inf(1), degraded: 0.55, bestEffort: 0.55, bulk: 0.45}
 
 // learn takes a quiet timing into the target and the maximum. They fall at once and rise slowly: a crowd
 // that builds up must not pass for the normal time. Before the first timings, and where a crowd was there
