End a broken command stream where it breaks, and test the node as a process

Seen: a good request that arrived in the same read as broken framing got no answer. redcon's readCommands returns the error and drops the commands it has parsed before it. The guard let all bytes through but absurd lengths.

internal/listener/guard.go now follows the framing strictly and ends the stream before the byte that breaks it, so what came before is parsed and answered. Ruled out: the writing side, which kept its order. Inline commands are given up for it: clients send arrays of bulk strings only.

--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -16,35 +16,48 @@
 
 var (
 	errTooLarge = errors.New("Protocol error: command is too large")
-	errHeader   = errors.New("Protocol error: invalid length")
+	errLength   = errors.New("Protocol error: invalid length")
+	errFraming  = errors.New("Protocol error: expected an array of bulk strings")
 )
 
-// guard follows the framing of what redcon's reader will see and ends the stream before it gets there with a
-// length that it cannot take: a count near the largest integer makes it loop for ever, such a length of a bulk
-// string makes it panic, and a command without an end makes its buffer grow without one.
+// guard follows the framing of what redcon's reader will see and ends the stream before the byte that breaks it.
+// redcon's own check drops the good commands that came in the same read as a broken one; a count near the largest
+// integer makes it loop for ever, such a length of a bulk string makes it panic, and a command without an end
+// makes its buffer grow without one.
 type guard struct {
-	rd   io.Reader
-	err  error
-	head byte // '*' or '$': in such a line; 0: at the start of a line; 1: in a plain line
-	n    int  // number read so far in the line
-	neg  bool
-	args int // bulk strings still to come
-	skip int // bytes of a bulk string and its CRLF still to come
-	size int // bytes of the command so far
+	rd     io.Reader
+	err    error
+	state  int
+	bulk   bool // the line in hand gives the length of a bulk string, not a count of them
+	n      int  // number read so far in the line
+	digits int
+	args   int // bulk strings of the command still to come
+	size   int // bytes of the command so far
 }
 
+// What the guard expects next.
+const (
+	atStart  = iota // '*', or '$' within a command
+	inNumber        // a digit or CR
+	lineEnd         // LF
+	inBulk          // bytes of a bulk string
+	bulkCR
+	bulkLF
+)
+
 func (g *guard) Read(b []byte) (int, error) {
 	if g.err != nil {
 		return 0, g.err
 	}
 	n, err := g.rd.Read(b)
 	for i := 0; i < n; i++ {
-		if g.skip > 0 {
-			step := min(g.skip, n-i)
-			g.skip -= step
-			g.size += step
+		if g.state == inBulk {
+			step := min(g.n, n-i)
+			g.n -= step
 			i += step - 1
-			g.endOfPart()
+			if g.n == 0 {
+				g.state = bulkCR
+			}
 			continue
 		}
 		if g.err = g.step(b[i]); g.err != nil {
@@ -55,55 +68,62 @@
 }
 
 func (g *guard) step(c byte) error {
-	if g.size++; g.size > maxCommand {
-		return errTooLarge
-	}
-	switch {
-	case g.head == 0:
-		g.n, g.neg = 0, false
-		if g.head = c; c != '*' && c != '$' {
-			g.head = 1
-			if c == '\n' {
-				g.head, g.size = 0, 0
-			}
+	switch g.state {
+	case atStart:
+		if g.bulk = g.args > 0; g.bulk && c != '$' || !g.bulk && c != '*' {
+			return errFraming
 		}
-	case c == '\n':
-		head := g.head
-		g.head = 0
-		switch head {
-		case '*':
-			if g.n > maxArgs {
-				return errTooLarge
-			}
-			g.args = g.n
-		case '$':
-			if g.n > maxArg {
-				return errTooLarge
-			}
-			g.skip = g.n + 2
+		g.n, g.digits, g.state = 0, 0, inNumber
+	case inNumber:
+		switch {
+		case c == '\r' && g.digits > 0:
+			g.state = lineEnd
+		case c < '0' || c > '9' || g.digits > 9:
+			return errLength
 		default:
-			if g.args == 0 {
-				g.size = 0
-			}
+			g.n = g.n*10 + int(c-'0')
+			g.digits++
 		}
-	case g.head == 1, c == '\r':
-	case c < '0' || c > '9':
-		return errHeader
-	default:
-		if g.n = g.n*10 + int(c-'0'); g.n > maxCommand {
-			return errTooLarge
+	case lineEnd:
+		if c != '\n' {
+			return errLength
+		}
+		return g.number()
+	case bulkCR:
+		if c != '\r' {
+			return errFraming
+		}
+		g.state = bulkLF
+	case bulkLF:
+		if c != '\n' {
+			return errFraming
+		}
+		g.state = atStart
+		if g.args--; g.args == 0 {
+			g.size = 0
 		}
 	}
 	return nil
 }
 
-// endOfPart counts the bulk string that has just ended.
-func (g *guard) endOfPart() {
-	if g.skip == 0 {
-		if g.args--; g.args <= 0 {
-			g.args, g.size = 0, 0
+// number takes the count or length that a line gave.
+func (g *guard) number() error {
+	switch {
+	case !g.bulk && g.n == 0:
+		return errLength
+	case !g.bulk && g.n > maxArgs, g.bulk && g.n > maxArg:
+		return errTooLarge
+	case !g.bulk:
+		g.args, g.state = g.n, atStart
+	default:
+		if g.size += g.n; g.size > maxCommand {
+			return errTooLarge
+		}
+		if g.state = inBulk; g.n == 0 {
+			g.state = bulkCR
 		}
 	}
+	return nil
 }
 
 // protocolError is what to tell a client whose framing is broken; empty for an error of the connection.
--- /dev/null
+++ b/tests/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package tests
+
+func init() { buildFlags = []string{"-race"} }
