Read the settings in one place, for the node and the adapter

internal/config now holds the parser that the adapter had, with the figures that the sockets need beside the module's; internal/wire uses it. A value that makes no sense is still named with its field.

Seen while reading the loop: a flow's deadline timer kept its command's bytes until it was due, up to the client's whole patience after its answer, and servers taken off the list were never forgotten (internal/node: at, list). Timers are taken back with their flow now, and a removed server goes once nothing of it is out. An action the node does not know is logged, not a panic.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,13 +7,10 @@
 	"net"
 	"os"
 	"strconv"
-	"time"
 
 	"github.com/valyala/fastjson"
 
-	"shelfproxy/brain"
 	"shelfproxy/internal/discovery"
-	"shelfproxy/internal/wire"
 )
 
 // Config is a node's configuration.
@@ -23,17 +20,7 @@
 	Cores                   float64
 	MemoryMB, Sockets       int
 	Known                   discovery.List
-	Module                  brain.Settings
-	Node                    Node
-}
-
-// Node holds the settings that the sockets need and the module does not.
-type Node struct {
-	MaxOpen        int
-	Streams        int // forwards on one connection
-	ConnectTimeout time.Duration
-	ConnIdle       time.Duration
-	LongestWait    time.Duration // longest deadline of a class
+	Settings
 }
 
 // Load reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN and LB_DISCOVERY stand in for what it lacks. An
@@ -72,7 +59,7 @@
 	if c.Sockets, err = number(v, 1024, 128, "limits", "sockets"); err != nil {
 		return nil, err
 	}
-	if known := v.Get("known"); known != nil {
+	if known := v.Get("known"); known != nil && known.Type() != fastjson.TypeNull {
 		if c.Known, err = discovery.Parse(known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
@@ -81,45 +68,12 @@
 	if set == nil {
 		return nil, errors.New("settings: missing")
 	}
-	if c.Module, err = wire.ParseSettings(set.MarshalTo(nil)); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
-	if c.Node, err = node(set); err != nil {
+	if c.Settings, err = ParseSettings(set.MarshalTo(nil)); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return c, nil
 }
 
-func node(set *fastjson.Value) (Node, error) {
-	var n Node
-	var err error
-	if n.MaxOpen, err = number(set, 20000, 1, "limits", "max_open"); err != nil {
-		return n, err
-	}
-	if n.Streams, err = number(set, 1, 1, "limits", "streams_per_conn"); err != nil {
-		return n, err
-	}
-	connect, err := number(set, 250_000, 1, "limits", "connect_timeout")
-	if err != nil {
-		return n, err
-	}
-	idle, err := number(set, 30_000_000, 1, "limits", "conn_idle")
-	if err != nil {
-		return n, err
-	}
-	n.ConnectTimeout, n.ConnIdle = micros(connect), micros(idle)
-	for i, lane := range set.GetArray("lanes") {
-		wait, err := number(lane, 0, 1, "deadline")
-		if err != nil {
-			return n, fmt.Errorf("lanes[%d].%w", i, err)
-		}
-		n.LongestWait = max(n.LongestWait, micros(wait))
-	}
-	return n, nil
-}
-
-func micros(us int) time.Duration { return time.Duration(us) * time.Microsecond }
-
 func str(v *fastjson.Value, field, otherwise string) string {
 	if b := v.GetStringBytes(field); b != nil {
 		return string(b)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,11 +80,13 @@
 	out      int
 	answered bool
 	deadline time.Time
+	expiry   *timed
 }
 
 type server struct {
 	discovery.Server
 	up     Upstream
+	out    int // forwards
 	probes []*forward.Forward
 }
 
@@ -155,7 +157,7 @@
 		n.settle()
 		now := time.Now()
 		for len(n.timers) > 0 && !n.timers[0].at.After(now) {
-			heap.Pop(&n.timers).(timed).run()
+			heap.Pop(&n.timers).(*timed).run()
 			n.settle()
 		}
 		if len(n.timers) > 0 {
@@ -226,7 +228,7 @@
 	case brain.Log:
 		n.logf("%s", a.Text)
 	default:
-		panic(fmt.Sprintf("node: unknown action %T", a))
+		n.logf("action %T is not known", a)
 	}
 }
 
@@ -249,7 +251,7 @@
 	if n.closing && s.deadline.After(n.lastAt) {
 		s.deadline = n.lastAt
 	}
-	n.at(s.deadline, func() { n.expire(s) })
+	s.expiry = n.at(s.deadline, func() { n.expire(s) })
 	n.tell(brain.Request{ID: s.id, Key: string(f.Key), Class: f.Class, Deadline: n.moduleTime(s.deadline),
 		Write: f.Write})
 }
@@ -297,6 +299,7 @@
 	if s != nil && s.answered && s.out == 0 {
 		delete(n.flows, s.id)
 		delete(n.byFlow, s.Flow)
+		n.drop(s.expiry)
 	}
 }
 
@@ -334,6 +337,9 @@
 	if srv != nil && !s.answered && time.Now().Before(s.deadline) {
 		end, ok = srv.up.Send(f)
 	}
+	if srv != nil {
+		srv.out++
+	}
 	if !ok {
 		n.ended(s, f, end)
 	}
@@ -351,6 +357,9 @@
 func (n *Node) ended(s *state, f *forward.Forward, end forward.End) {
 	s.forwards[f.Attempt] = nil
 	s.out--
+	if srv := n.servers[f.Server]; srv != nil {
+		srv.out--
+	}
 	n.opt.Count.Ended(s.class, int(end))
 	n.backlog = append(n.backlog, brain.Outcome{ID: s.id, Attempt: f.Attempt, Server: f.Server,
 		Reason: end.Reason(), Took: time.Since(f.Sent)})
@@ -404,20 +413,44 @@
 
 // timed is work that is due at a time.
 type timed struct {
-	at  time.Time
-	run func()
+	at    time.Time
+	run   func()
+	index int // in the heap; -1 when it is no longer there
 }
 
-func (n *Node) at(t time.Time, run func()) { heap.Push(&n.timers, timed{t, run}) }
+func (n *Node) at(t time.Time, run func()) *timed {
+	w := &timed{at: t, run: run}
+	heap.Push(&n.timers, w)
+	return w
+}
+
+// drop takes work back, so that what it refers to is not held until it is due.
+func (n *Node) drop(w *timed) {
+	if w != nil && w.index >= 0 {
+		heap.Remove(&n.timers, w.index)
+	}
+}
 
-type timers []timed
+type timers []*timed
 
 func (t timers) Len() int           { return len(t) }
 func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timed)) }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].index, t[j].index = i, j
+}
+
+func (t *timers) Push(x any) {
+	w := x.(*timed)
+	w.index = len(*t)
+	*t = append(*t, w)
+}
+
 func (t *timers) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
+	end := len(*t) - 1
+	w := (*t)[end]
+	(*t)[end] = nil
+	*t = (*t)[:end]
+	w.index = -1
+	return w
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -43,6 +43,11 @@
 			}
 		}
 	}
+	for id, s := range n.servers { // else a long life of replaced servers would fill the memory
+		if s.State == discovery.Removed && s.out == 0 && len(s.probes) == 0 {
+			delete(n.servers, id)
+		}
+	}
 	n.tell(event)
 }
 
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -8,6 +8,7 @@
 	"io"
 
 	"shelfproxy/brain"
+	"shelfproxy/internal/config"
 )
 
 // Host runs routers over the wire until in ends, one reply line for each batch. Routers share only the
@@ -65,9 +66,11 @@
 	case "":
 		return nil, errors.New("message: field type: missing")
 	case "CONFIGURE":
-		set, err := ParseSettings(m.Setup)
-		if err == nil {
-			routers[name], err = brain.New(set, m.Nonce)
+		set, err := config.ParseSettings(m.Setup)
+		if err != nil {
+			err = fmt.Errorf("CONFIGURE: field setup: %w", err)
+		} else {
+			routers[name], err = brain.New(set.Module, m.Nonce)
 		}
 		if err != nil {
 			return []Output{{Type: "BAIL_OUT", ReasonText: err.Error()}}, nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shelfproxy/brain"
+	"shelfproxy/internal/config"
 )
 
 // Batch is one line of input: what happened at one time.
@@ -55,58 +56,8 @@
 	LastStart int64   `json:"last_start"`
 }
 
-// setup holds the settings that the module uses; all others are skipped.
-type setup struct {
-	Replicas int    `json:"replicas_of_me"`
-	Zone     string `json:"az"`
-	Lanes    []struct {
-		Name      string  `json:"name"`
-		Worth     float64 `json:"worth"`
-		GoalTime  int64   `json:"goal_time"`
-		LateWorth float64 `json:"late_worth"`
-		Semantics string  `json:"semantics"`
-		KeyScope  string  `json:"key_scope"`
-		Window    int64   `json:"window"`
-	} `json:"lanes"`
-	Accounts []struct {
-		Name  string  `json:"name"`
-		Quota float64 `json:"quota_per_s"`
-	} `json:"accounts"`
-	OverShare float64  `json:"over_share_worth"`
-	Machines  []string `json:"machine_types"`
-	Family    struct {
-		Mode       string `json:"mode"`
-		OriginKind int    `json:"origin_kind"`
-	} `json:"family_info"`
-	Weights  string `json:"weights"`
-	Registry string `json:"registry_mode"`
-	Limits   struct {
-		Probes        bool  `json:"probes"`
-		Cancel        bool  `json:"cancel"`
-		RetryAfter    bool  `json:"retry_after"`
-		MaxAttempts   int   `json:"max_attempts"`
-		MaxRetryAfter int64 `json:"max_retry_after"`
-	} `json:"limits"`
-	Rules struct {
-		ColdFrom  float64 `json:"cold_from"`
-		WarmAfter int64   `json:"warm_after"`
-		Overload  float64 `json:"overload_factor"`
-	} `json:"rules"`
-	Prices struct {
-		Connection float64 `json:"connection"`
-		Handshake  float64 `json:"handshake"`
-	} `json:"deductions"`
-	Tick int64 `json:"tick"`
-}
-
 func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 
-var effects = map[string]brain.Effect{"": brain.Safe, "idempotent": brain.Safe, "deduplicated": brain.Keyed,
-	"at_most_once": brain.Unsafe}
-
-var groups = map[string]brain.Group{"": brain.AllServers, "all": brain.AllServers, "zone": brain.SameZone,
-	"cell": brain.SameCell}
-
 var scopes = map[string]brain.ListScope{"delta": brain.Changes, "full": brain.Full, "cached": brain.Cached,
 	"failed": brain.Failed}
 
@@ -115,64 +66,11 @@
 var reasons = []brain.Reason{brain.Errored, brain.OK, brain.Rejected, brain.TimedOut, brain.NoConnection,
 	brain.Reset, brain.Cancelled, brain.Moot, brain.Miss}
 
-// word looks up a word of the wire and names the field where it is not one.
-func word[T any](words map[string]T, field, w string) (T, error) {
-	v, ok := words[w]
-	if !ok {
-		return v, fmt.Errorf("field %s: unknown value %q", field, w)
-	}
-	return v, nil
-}
-
-// ParseSettings reads the setup of a CONFIGURE message.
-func ParseSettings(raw []byte) (brain.Settings, error) {
-	var in setup
-	if err := json.Unmarshal(raw, &in); err != nil {
-		return brain.Settings{}, fmt.Errorf("CONFIGURE: field setup: %w", err)
-	}
-	set := brain.Settings{
-		Routers: in.Replicas, Zone: in.Zone, OverShare: in.OverShare,
-		SizedUnits: in.Weights == "nominal" || in.Weights == "rough",
-		MustAsk:    in.Registry == "subscribe",
-		Probes:     in.Limits.Probes, Cancels: in.Limits.Cancel,
-		MaxAttempts: in.Limits.MaxAttempts, Tick: micros(in.Tick),
-		ColdFrom: in.Rules.ColdFrom, WarmAfter: micros(in.Rules.WarmAfter),
-		FallFactor:      in.Rules.Overload,
-		ConnectionPrice: in.Prices.Connection, HandshakePrice: in.Prices.Handshake,
-	}
-	if in.Limits.RetryAfter {
-		set.MaxRetryAfter = micros(in.Limits.MaxRetryAfter)
-	}
-	if in.Family.Mode == "aside" {
-		if in.Family.OriginKind < 0 || in.Family.OriginKind >= len(in.Machines) {
-			return set, fmt.Errorf("CONFIGURE: field family_info.origin_kind: no machine type %d",
-				in.Family.OriginKind)
-		}
-		set.OriginKind = in.Machines[in.Family.OriginKind]
-	}
-	for _, l := range in.Lanes {
-		effect, err := word(effects, "lanes.semantics", l.Semantics)
-		if err != nil {
-			return set, fmt.Errorf("CONFIGURE: %w", err)
-		}
-		group, err := word(groups, "lanes.key_scope", l.KeyScope)
-		if err != nil {
-			return set, fmt.Errorf("CONFIGURE: %w", err)
-		}
-		set.Classes = append(set.Classes, brain.Class{Name: l.Name, Worth: l.Worth, Aim: micros(l.GoalTime),
-			Late: l.LateWorth, Effect: effect, Group: group, Window: micros(l.Window)})
-	}
-	for _, a := range in.Accounts {
-		set.Tenants = append(set.Tenants, brain.Tenant{Name: a.Name, Quota: a.Quota})
-	}
-	return set, nil
-}
-
 // ParseServers reads the entries of a CATALOG message.
 func ParseServers(records []Record) ([]brain.Server, error) {
 	servers := make([]brain.Server, len(records))
 	for i, rec := range records {
-		state, err := word(states, "records.health", rec.Health)
+		state, err := config.Word(states, "records.health", rec.Health)
 		if err != nil {
 			return nil, fmt.Errorf("CATALOG: %w", err)
 		}
@@ -206,7 +104,7 @@
 		reason, err := m.reason()
 		return brain.Probed{Server: m.Server, Reason: reason}, err
 	case "ANNOUNCE":
-		scope, err := word(scopes, "scope", m.Scope)
+		scope, err := config.Word(scopes, "scope", m.Scope)
 		if err != nil {
 			return nil, fmt.Errorf("ANNOUNCE: %w", err)
 		}
--- a/tests/node_test.go
+++ b/tests/node_test.go
@@ -235,6 +235,21 @@
 	ask(80, 90)
 }
 
+// A refusal tells the client when to come back, where the settings let clients follow it.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	t.Parallel()
+	for follow, want := range map[bool]string{true: "-BUSY 2000", false: "-BUSY"} {
+		r := newRig(t)
+		r.config["known"] = list(41, true) // no origin: nothing of the write can have run
+		set(r.config, "limits")["retry_after"] = follow
+		set(r.config, "limits")["max_retry_after"] = 2000000
+		c := r.start().dial()
+		if got := c.send("CACHE.SET", "k", "id", "c=cert,d=2900", "v").answer(); got != want {
+			t.Errorf("answer %q, want %q", got, want)
+		}
+	}
+}
+
 // A client that leaves takes nothing with it.
 func TestClientLeaves(t *testing.T) {
 	t.Parallel()
