Count a watch that sent garbage apart from one that broke

A watch that sends what is no list ends as an end of its own now, like garbage from a target (internal/discovery, ErrGarbage); both are told to the module as a broken watch, in one place (internal/node/servers.go, watched).

Tests: garbage is counted; clients beyond the limit on descriptors make the connection that is idle for longest go, the others stay.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -9,18 +9,18 @@
 
 // Counters may be used from any goroutine.
 type Counters struct {
-	Accepted, AcceptFailed, WriteFailed   atomic.Int64 // the clients' connections
-	Malformed, BadFraming, Duplicate      atomic.Int64 // commands that are no request
-	Opened, OriginOpened                  atomic.Int64 // connections to servers
-	Probes, Watches, Lists, WatchesBroken atomic.Int64
-	Late                                  atomic.Int64 // answers of servers that came after their flow's end
-	Gone                                  atomic.Int64 // flows whose client left first
-	classes                               []string
-	answers                               []string
-	ends                                  []string
-	in, sent                              []atomic.Int64 // by class
-	answered                              []atomic.Int64 // by class and answer
-	ended                                 []atomic.Int64 // by class and end
+	Accepted, AcceptFailed, WriteFailed                   atomic.Int64 // the clients' connections
+	Malformed, BadFraming, Duplicate                      atomic.Int64 // commands that are no request
+	Opened, OriginOpened                                  atomic.Int64 // connections to servers
+	Probes, Watches, Lists, WatchesBroken, WatchesGarbage atomic.Int64
+	Late                                                  atomic.Int64 // answers of servers that came after their flow's end
+	Gone                                                  atomic.Int64 // flows whose client left first
+	classes                                               []string
+	answers                                               []string
+	ends                                                  []string
+	in, sent                                              []atomic.Int64 // by class
+	answered                                              []atomic.Int64 // by class and answer
+	ended                                                 []atomic.Int64 // by class and end
 }
 
 // New makes counters for these classes, kinds of final answers and ends of forwards.
@@ -60,6 +60,7 @@
 	line(&c.Probes, "probes_sent")
 	line(&c.Watches, "discovery_watches")
 	line(&c.WatchesBroken, "discovery_watches_broken")
+	line(&c.WatchesGarbage, "discovery_watches_garbage")
 	line(&c.Lists, "discovery_lists")
 	line(&c.Late, "answers_late")
 	line(&c.Gone, "flows_client_left")
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -103,6 +103,9 @@
 	return cancel
 }
 
+// ErrGarbage ends a watch that sent what is no list.
+var ErrGarbage = errors.New("discovery: no list")
+
 var errSilent = errors.New("discovery: the watch fell silent")
 
 func (c *Client) follow(ctx context.Context, after int64, report func(List, error)) error {
@@ -138,11 +141,11 @@
 		}
 		v, err := parser.ParseBytes(lines.Bytes())
 		if err != nil {
-			return fmt.Errorf("discovery: not JSON: %w", err)
+			return fmt.Errorf("%w: %w", ErrGarbage, err)
 		}
 		list, err := Parse(v)
 		if err != nil {
-			return fmt.Errorf("discovery: %w", err)
+			return fmt.Errorf("%w: %w", ErrGarbage, err)
 		}
 		report(list, nil)
 	}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"time"
 
 	"shelfproxy/brain"
@@ -94,7 +95,11 @@
 	switch {
 	case number != n.watch:
 	case err != nil:
-		n.opt.Count.WatchesBroken.Add(1)
+		if errors.Is(err, discovery.ErrGarbage) {
+			n.opt.Count.WatchesGarbage.Add(1)
+		} else {
+			n.opt.Count.WatchesBroken.Add(1)
+		}
 		n.logf("watch: %v", err)
 		n.healthy, n.watch = false, n.watch+1
 		n.tell(brain.List{Scope: brain.Failed})
--- a/tests/node_test.go
+++ b/tests/node_test.go
@@ -116,16 +116,21 @@
 	b.send("CACHE.GET", "k", "same", "c=read,d=2900").want("value-same")
 }
 
-// A target that never answers costs the client its wait and no more, and its late answer reaches nobody.
-func TestAnswerByTheDeadline(t *testing.T) {
-	t.Parallel()
-	release := make(chan bool)
-	box := newTarget(t, func(args []string) string {
+// stuckTarget answers nothing for the key "stuck", nor what comes behind it, until release is closed.
+func stuckTarget(t *testing.T) (box *target, release chan bool) {
+	release = make(chan bool)
+	return newTarget(t, func(args []string) string {
 		if args[1] == "stuck" {
 			<-release
 		}
 		return hit(args)
-	})
+	}), release
+}
+
+// A target that never answers costs the client its wait and no more, and its late answer reaches nobody.
+func TestAnswerByTheDeadline(t *testing.T) {
+	t.Parallel()
+	box, release := stuckTarget(t)
 	c := newRig(t, box).start().dial()
 	start := time.Now()
 	c.send("CACHE.GET", "stuck", "id1", "c=read,d=300").want("-")
@@ -139,13 +144,7 @@
 // With few descriptors forwards share connections. One that is given up must not end those beside it.
 func TestGivenUpForwardLeavesItsNeighbours(t *testing.T) {
 	t.Parallel()
-	release := make(chan bool)
-	box := newTarget(t, func(args []string) string {
-		if args[1] == "stuck" {
-			<-release
-		}
-		return hit(args)
-	})
+	box, release := stuckTarget(t)
 	r := newRig(t, box)
 	r.config["limits"] = map[string]any{"sockets": 128}
 	r.start()
@@ -233,6 +232,9 @@
 	r.changes <- "no JSON"
 	<-r.watches
 	ask(80, 90)
+	if info := c.send("INFO").answer(); !strings.Contains(info, "discovery_watches_garbage 1\n") {
+		t.Errorf("counters: %s", info)
+	}
 }
 
 // A refusal tells the client when to come back, where the settings let clients follow it.
@@ -265,6 +267,21 @@
 	})
 }
 
+// More clients than there are descriptors for: the connection idle for longest makes room, the others stay.
+func TestClientsBeyondTheLimit(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, newTarget(t, hit))
+	r.config["limits"] = map[string]any{"sockets": 128}
+	r.start()
+	first := r.dial()
+	first.send("PING").want("+PONG")
+	for i := range 60 {
+		r.dial().send("CACHE.GET", "k", fmt.Sprint("id", i), "c=read,d=2900").want("value-")
+	}
+	first.want("closed")
+	r.dial().send("PING").want("+PONG")
+}
+
 // After SIGTERM the node goes on for the grace, answers what it owes and exits with 0.
 func TestStop(t *testing.T) {
 	t.Parallel()
