--- a/brain/brain.go
+++ b/brain/brain.go
@@ -44,7 +44,7 @@
 
 // thresholds give the utilisation of the target past which a bucket's misses are refused, all of them at
 // twice that. Writes never are, and critical reads only by criticalMax. At 0.1 calm
-// days had a third of their reads refused while p99 was half the aim; from 0.6 on overload was not held.
+// days had 17 to 45% of reads refused with p99 at half the aim; from 0.6 on overload was not held.
 var thresholds = [...]float64{critical: math.Inf(1), degraded: 0.55, bestEffort: 0.55, bulk: 0.45}
 
 // learn takes a quiet timing into the target and the maximum. They fall at once and rise slowly: a crowd
