Take a new configuration on SIGHUP and move the watch to the new discovery

At fault: cmd/shelfproxy caught SIGTERM, SIGINT and SIGUSR1 only (signal.Notify in run), and a Go program ends on a signal that it does not catch. Once one signal had ended the loop, none was looked at any more. Checked: a late report of the old watch carries an old number and is dropped (node.watched); the module need not be told, as its list stays; LB_CONFIG is read again with the check that a start makes, which -check lacked for the module's settings. SIGHUP while draining now leaves the drain alone. Test: TestReload, and a SIGHUP within TestStop; both fail without the change ("signal: hangup").

--- a/cmd/shelfproxy/main.go
+++ b/cmd/shelfproxy/main.go
@@ -53,6 +53,9 @@
 		fmt.Println("configuration is good")
 		return nil
 	}
+	// From here on, as a signal that is not caught ends the program. One of a kind that waits is enough: it is
+	// looked at after the others came.
+	hup, term, usr := catch(syscall.SIGHUP), catch(syscall.SIGTERM, syscall.SIGINT), catch(syscall.SIGUSR1)
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
 	}
@@ -96,8 +99,6 @@
 	l := listener.New(ln, n, classes, listener.Limits{Conns: clients, Pipelined: 128, Value: 64 << 10,
 		Write: 10 * time.Second}, count)
 
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	stop := make(chan struct{})
 	ended := make(chan struct{})
 	go func() {
@@ -106,27 +107,73 @@
 	}()
 	go l.Serve()
 
-	for s := range signals {
-		if s != syscall.SIGUSR1 {
-			break
+	var over <-chan struct{} // once SIGTERM came; reloads go on until then
+	for {
+		select {
+		case <-hup:
+			cfg = reload(cfg, n, count)
+		case <-usr:
+			fmt.Fprint(os.Stderr, count)
+		case <-term:
+			if over == nil {
+				over = shutDown(cfg.Node.LongestWait, n, l)
+			}
+		case <-over:
+			close(stop)
+			<-ended
+			fmt.Fprint(os.Stderr, count)
+			return nil
 		}
-		fmt.Fprint(os.Stderr, count)
 	}
-	last := time.Now().Add(min(cfg.Node.LongestWait, longest) + 700*time.Millisecond - killReserve)
-	time.Sleep(grace)
-	l.Close()
-	answered := make(chan struct{})
+}
+
+func catch(signals ...os.Signal) <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, signals...)
+	return c
+}
+
+// reload takes over what a new configuration changes and returns the one that runs from now on. Only discovery can
+// move while the node runs; a configuration with an error changes nothing.
+func reload(running *config.Config, n *node.Node, count *counters.Counters) *config.Config {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		count.ReloadsBad.Add(1)
+		n.Logf("reload: the running configuration stays: %v", err)
+		return running
+	}
+	count.Reloads.Add(1)
+	for _, field := range running.Fixed(cfg) {
+		n.Logf("reload: %s changed; it takes effect at the next start", field)
+	}
+	kept := *running
+	if kept.Discovery != cfg.Discovery {
+		n.Logf("reload: discovery moves from %s to %s", kept.Discovery, cfg.Discovery)
+		n.Follow(&discovery.Client{Addr: cfg.Discovery})
+		kept.Discovery = cfg.Discovery
+	}
+	return &kept
+}
+
+// shutDown ends the service after a moment of grace. The channel is closed when all that is owed is answered, or
+// when there is no more time for it.
+func shutDown(wait time.Duration, n *node.Node, l *listener.Listener) <-chan struct{} {
+	over := make(chan struct{})
+	last := time.Now().Add(min(wait, longest) + 700*time.Millisecond - killReserve)
 	go func() {
-		<-n.Drain(last)
-		l.Wait()
-		close(answered)
+		defer close(over)
+		time.Sleep(grace)
+		l.Close()
+		answered := make(chan struct{})
+		go func() {
+			<-n.Drain(last)
+			l.Wait()
+			close(answered)
+		}()
+		select {
+		case <-answered:
+		case <-time.After(time.Until(last) + killReserve*2/3):
+		}
 	}()
-	select {
-	case <-answered:
-	case <-time.After(time.Until(last) + killReserve*2/3):
-	}
-	close(stop)
-	<-ended
-	fmt.Fprint(os.Stderr, count)
-	return nil
+	return over
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,6 +2,7 @@
 package config
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -10,6 +11,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"shelfproxy/brain"
 	"shelfproxy/internal/discovery"
 )
 
@@ -21,6 +23,23 @@
 	MemoryMB, Sockets       int
 	Known                   discovery.List
 	Settings
+	settings []byte // as they were read
+}
+
+// Fixed names the fields in which another configuration differs and that a running node can't change. The seed and
+// the list known are for the start alone.
+func (c *Config) Fixed(other *Config) (fields []string) {
+	for _, f := range []struct {
+		name string
+		same bool
+	}{{"name", c.Name == other.Name}, {"listen", c.Listen == other.Listen},
+		{"limits.cores", c.Cores == other.Cores}, {"limits.memory_mb", c.MemoryMB == other.MemoryMB},
+		{"limits.sockets", c.Sockets == other.Sockets}, {"settings", bytes.Equal(c.settings, other.settings)}} {
+		if !f.same {
+			fields = append(fields, f.name)
+		}
+	}
+	return fields
 }
 
 // Load reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN and LB_DISCOVERY stand in for what it lacks. An
@@ -68,7 +87,11 @@
 	if set == nil {
 		return nil, errors.New("settings: missing")
 	}
-	if c.Settings, err = ParseSettings(set.MarshalTo(nil)); err != nil {
+	c.settings = set.MarshalTo(nil)
+	if c.Settings, err = ParseSettings(c.settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if _, err = brain.New(c.Module, c.Seed); err != nil { // a reload must not accept what a start would not
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return c, nil
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -13,6 +13,7 @@
 	Malformed, BadFraming, Duplicate                      atomic.Int64 // commands that are no request
 	Opened, OriginOpened                                  atomic.Int64 // connections to servers
 	Probes, Watches, Lists, WatchesBroken, WatchesGarbage atomic.Int64
+	Reloads, ReloadsBad                                   atomic.Int64 // configurations read again, and those that were no good
 	Late                                                  atomic.Int64 // answers of servers that came after their flow's end
 	Gone                                                  atomic.Int64 // flows whose client left first
 	classes                                               []string
@@ -62,6 +63,8 @@
 	line(&c.WatchesBroken, "discovery_watches_broken")
 	line(&c.WatchesGarbage, "discovery_watches_garbage")
 	line(&c.Lists, "discovery_lists")
+	line(&c.Reloads, "reloads")
+	line(&c.ReloadsBad, "reloads_bad")
 	line(&c.Late, "answers_late")
 	line(&c.Gone, "flows_client_left")
 	for i, class := range c.classes {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -199,7 +199,8 @@
 	}
 }
 
-func (n *Node) logf(format string, args ...any) {
+// Logf writes a line of the log.
+func (n *Node) Logf(format string, args ...any) {
 	fmt.Fprintf(n.opt.Log, "%s "+format+"\n", append([]any{time.Now().UTC().Format("15:04:05.000")}, args...)...)
 }
 
@@ -226,9 +227,9 @@
 	case brain.Subscribe:
 		n.subscribe()
 	case brain.Log:
-		n.logf("%s", a.Text)
+		n.Logf("%s", a.Text)
 	default:
-		n.logf("action %T is not known", a)
+		n.Logf("action %T is not known", a)
 	}
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -90,6 +90,15 @@
 	})
 }
 
+// Follow moves the watch to another source, which knows the same list under the same versions: discovery is one
+// service, whatever its address. What the old watch still reports is dropped.
+func (n *Node) Follow(source discovery.Source) {
+	n.post(n.lists, func() {
+		n.opt.Source, n.healthy = source, false
+		n.subscribe()
+	})
+}
+
 // watched takes a report of a watch. One that broke is told to the module, which asks anew in its own time.
 func (n *Node) watched(number int, l discovery.List, err error) {
 	switch {
@@ -100,7 +109,7 @@
 		} else {
 			n.opt.Count.WatchesBroken.Add(1)
 		}
-		n.logf("watch: %v", err)
+		n.Logf("watch: %v", err)
 		n.healthy, n.watch = false, n.watch+1
 		n.tell(brain.List{Scope: brain.Failed})
 	default:
--- a/tests/node_test.go
+++ b/tests/node_test.go
@@ -1,6 +1,7 @@
 package tests
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -298,7 +299,8 @@
 		return strings.Contains(idle.send("INFO").answer(), `forwards_sent{class="read"} 1`)
 	})
 	r.cmd.Process.Signal(syscall.SIGTERM)
-	time.Sleep(100 * time.Millisecond) // well inside the grace
+	r.cmd.Process.Signal(syscall.SIGHUP) // a reload, just then, ends nothing
+	time.Sleep(100 * time.Millisecond)   // well inside the grace
 	r.dial().send("CACHE.GET", "k", "id2", "c=read,d=2900").want("value-id2")
 	idle.want("closed")
 	owed.want("value-id1")
@@ -310,6 +312,39 @@
 	}
 }
 
+// A reload moves the watch and nothing else: what the old discovery still has to say is not heard, a configuration
+// that is no good changes nothing, and what can't change while the node runs is named in the log.
+func TestReload(t *testing.T) {
+	t.Parallel()
+	box := newTarget(t, hit)
+	r, next := newRig(t, box).start(), newRig(t)
+	c := r.dial()
+	c.send("CACHE.GET", "k", "id1", "c=read,d=2900").want("value-id1")
+	for _, bad := range []string{"{", `{"listen":"127.0.0.1:1","discovery":"nowhere"}`} {
+		r.replace(bad)
+		r.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	r.logged(`reload: the running configuration stays: discovery: "nowhere" is no host and port`)
+	r.config["discovery"] = next.config["discovery"]
+	r.config["limits"].(map[string]any)["sockets"] = 512
+	text, _ := json.Marshal(r.config)
+	r.replace(string(text))
+	for range 3 {
+		r.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	if q := <-next.watches; !strings.Contains(q, "after=41") {
+		t.Errorf("the new watch asks for %q, want what came after 41", q)
+	}
+	r.until("the old watch is closed", func() bool { return r.open.Load() == 0 })
+	r.logged("reload: limits.sockets changed; it takes effect at the next start")
+	next.tell(list(43, false, instance("s0", box.addr, "box", "draining")))
+	r.until("the new discovery is heard", func() bool { return box.connections() == 0 })
+	c.send("CACHE.GET", "k", "id2", "c=read,d=2900").want("from-origin-id2")
+	if n := len(next.watches); n > 0 {
+		t.Errorf("%d more watches were opened", n)
+	}
+}
+
 func TestBadConfigurationNamesTheField(t *testing.T) {
 	t.Parallel()
 	tests := map[string]func(c map[string]any){
--- a/tests/rig_test.go
+++ b/tests/rig_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -50,9 +51,11 @@
 	addr    string
 	log     lockedBuffer
 	exited  chan error
+	path    string      // of the configuration
 	changes chan string // lines for the watch
 	watches chan string // queries of the watches that were opened
 	origin  http.HandlerFunc
+	open    atomic.Int64       // watches that are open
 	asked   chan *http.Request // what the origin was asked
 }
 
@@ -127,6 +130,8 @@
 
 func (r *rig) discover(w http.ResponseWriter, q *http.Request) {
 	r.watches <- q.URL.RawQuery
+	r.open.Add(1)
+	defer r.open.Add(-1)
 	fmt.Fprint(w, `{"generation":41,"reset":false,"instances":[]}`+"\n")
 	w.(http.Flusher).Flush()
 	beat := time.NewTicker(time.Second)
@@ -153,15 +158,26 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	path := filepath.Join(r.t.TempDir(), "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		r.t.Fatal(err)
-	}
+	r.path = filepath.Join(r.t.TempDir(), "config.json")
+	r.replace(string(text))
 	cmd := exec.Command(program)
-	cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+r.path)
 	return cmd
 }
 
+// replace puts another text into the file of the configuration.
+func (r *rig) replace(text string) {
+	if err := os.WriteFile(r.path, []byte(text), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// logged waits for a text in the log.
+func (r *rig) logged(text string) {
+	r.t.Helper()
+	r.until(text, func() bool { return strings.Contains(r.log.String(), text) })
+}
+
 // start starts the node and waits until it watches discovery. The test fails if it does not end as asked.
 func (r *rig) start() *rig {
 	free, err := net.Listen("tcp", "127.0.0.1:0")
