Keep a server in the map when one of its answers is spoilt or one connection breaks

At fault: forward.End mapped Garbage to brain.Reset, and Router.suspect silenced a server at once on a Reset, with every read that was out there cancelled and its slots moved to servers that lack the keys. Now: Spoilt is a reason of its own, may have run, is asked for once more where the object is, then elsewhere; a Reset asks the server, and one probe without an answer takes it out.

--- a/brain/api.go
+++ b/brain/api.go
@@ -140,6 +140,7 @@
 	Cancelled                  // called off by the router
 	Moot                       // never sent
 	Miss                       // nothing is held there for the key
+	Spoilt                     // answered with what can't be read: it may have run, and the server is there
 )
 
 // Outcome ends one attempt.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -432,17 +432,20 @@
 			r.unreached[s.Zone]++
 		}
 		s.gauge.observe(r.now, e.Took, true)
-		r.suspect(s, e.Reason == Reset)
+		if e.Reason == Reset {
+			s.doubted = r.now // one probe without an answer is then enough
+		}
+		r.suspect(s)
 	case OK, Errored, Rejected:
 		s.gauge.observe(r.now, e.Took, e.Reason != OK)
 		if e.Reason == OK && s != r.origin {
 			r.served += r.one
 		}
 		fallthrough
-	case Miss:
+	case Miss, Spoilt: // says nothing of the load
 		r.alive(s)
 	}
-	mayHaveRun := slices.Contains([]Reason{Errored, TimedOut, Reset, Cancelled}, e.Reason)
+	mayHaveRun := slices.Contains([]Reason{Errored, TimedOut, Reset, Cancelled, Spoilt}, e.Reason)
 	if mayHaveRun && q.risk == nil {
 		q.risk = a
 	}
@@ -464,6 +467,11 @@
 		r.advance(q)
 	case e.Reason == TimedOut || e.Reason == Moot:
 		r.giveUp(q)
+	case cache && e.Reason == Spoilt: // again where the object is: any server spoils an answer now and then
+		if len(q.attempts) > 1 {
+			q.avoid = s
+		}
+		r.advance(q)
 	case cache && (unreached || e.Reason == Rejected && q.bucket != bulk && len(q.attempts) < 3 && roomy):
 		q.avoid = s
 		r.advance(q)
@@ -488,16 +496,12 @@
 	}
 }
 
-// suspect asks a server that failed whether it is there. A full connection table or one slow answer must
-// not be read as death: only an unanswered probe, or a broken connection, takes it out of the map.
-func (r *Router) suspect(s *server, broken bool) {
-	if s == r.origin || s.silent {
-		return
-	}
-	if broken {
-		r.silence(s)
+// suspect asks a server that failed whether it is there. A full connection table, one slow answer or one
+// broken connection must not be read as death: only an unanswered probe takes it out of the map.
+func (r *Router) suspect(s *server) {
+	if s != r.origin && !s.silent {
+		r.probe(s)
 	}
-	r.probe(s)
 }
 
 func (r *Router) silence(s *server) {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -309,6 +309,7 @@
 		{"unsafe", Errored, 0, 0, "fail"},
 		{"unsafe", Rejected, 0, 1, ""},
 		{"unsafe", Reset, 0, 0, "fail"},
+		{"unsafe", Spoilt, 0, 0, "fail"},
 		{"high", TimedOut, 0, 0, "refuse"},
 		{"unsafe", TimedOut, 0, 0, "fail"},
 	}
@@ -334,6 +335,30 @@
 	}
 }
 
+// A spoilt answer or one broken connection is no death: the map stays, and the spoilt read is asked for again where
+// its object is. A probe without an answer after the break takes the server out.
+func TestSpoiltAnswersAndBreaksLeaveTheMap(t *testing.T) {
+	b := newBench(t, testSettings(), "s1", "s2", "s3")
+	owner := b.owner("k")
+	id, _ := b.ask("low", "k", nil)
+	if to := b.sentTo(b.end(id, Spoilt, ms)); to != owner {
+		t.Errorf("asked %s again, want the owner %s", to, owner)
+	}
+	if to := b.sentTo(b.end(id, Spoilt, ms)); to == owner {
+		t.Error("asked the owner a third time")
+	}
+	b.now += ms
+	id, _ = b.ask("low", "k", nil)
+	actions := b.end(id, Reset, ms)
+	if b.sentTo(actions) == owner || len(find[Probe](actions)) != 1 || b.owner("k") != owner {
+		t.Errorf("after a reset %v, owner %s", actions, b.owner("k"))
+	}
+	b.now += ms
+	if b.do(Probed{Server: owner, Reason: NoConnection}); b.owner("k") == owner {
+		t.Error("the server stays in the map when its probe has no answer")
+	}
+}
+
 func TestNothingToDrainingOrGone(t *testing.T) {
 	for _, list := range []List{
 		{Scope: Changes, Servers: []Server{{ID: "s1", Kind: "cache", State: Draining}}},
--- a/brain/property_test.go
+++ b/brain/property_test.go
@@ -84,13 +84,14 @@
 				if q.out == 0 || b.now < q.Deadline && rng.IntN(20) > 0 {
 					continue
 				}
-				reason := Reason(rng.IntN(int(Miss) + 1))
+				reason := Reason(rng.IntN(int(Spoilt) + 1))
 				if b.now >= q.Deadline {
 					reason = TimedOut
 				}
 				q.out--
 				q.ended = q.ended || reason == OK
-				q.risky = q.risky || reason == Errored || reason == TimedOut || reason == Reset || reason == Cancelled
+				q.risky = q.risky || reason == Errored || reason == TimedOut || reason == Reset || reason == Cancelled ||
+					reason == Spoilt
 				step(Outcome{ID: id, Attempt: q.sends - 1, Reason: reason, Took: 20 * ms, Ended: q.ended})
 			}
 			if n%500 == 499 {
--- a/internal/forward/end.go
+++ b/internal/forward/end.go
@@ -40,7 +40,7 @@
 	NoConnect: {"no_connect", brain.NoConnection},
 	CutShort:  {"cut_short", brain.NoConnection},
 	Broken:    {"broken", brain.Reset},
-	Garbage:   {"garbage", brain.Reset},
+	Garbage:   {"garbage", brain.Spoilt},
 	TimedOut:  {"timed_out", brain.TimedOut},
 	Cancelled: {"cancelled", brain.Cancelled},
 }
