Call a cache server crowded only when it is, and read past it while the origin is quiet

At fault: advance sheds by the server's gauge, with the objectives of the whole pool; no look at what is in flight. The design sheds by the origin's latency; this is the module's own addition for crowded cache servers. Now: the target is at least half the shortest aim, two must be in hand, and while the origin is quiet (below 0.2) the read goes there instead of being refused.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -32,6 +32,7 @@
 	keyAge      = 30 * time.Second        // like maxAge, for popularity
 	criticalMax = 0.2                     // share over the maximum past which critical reads are refused too
 	extreme     = 0.5                     // share over the maximum at which writes beyond a share wait
+	inHand      = 2                       // reads out at a cache server from which it can count as crowded
 	holdWrites  = 100 * time.Millisecond  // before they look again
 	spill       = 0.05                    // origin utilisation up to which a full server's reads move on
 	backoff     = 25 * time.Millisecond   // first wait after a server was full
@@ -47,6 +48,10 @@
 // days had 17 to 45% of reads refused with p99 at half the aim; from 0.6 on overload was not held.
 var thresholds = [...]float64{critical: math.Inf(1), degraded: 0.55, bestEffort: 0.55, bulk: 0.45}
 
+// poolFloor is the cache servers' target over the shortest aim, at least. Their normal times differ by
+// machine, and a slow one that answers well inside the aim is not crowded.
+const poolFloor = 0.5
+
 // learn takes a quiet timing into the target and the maximum. They fall at once and rise slowly: a crowd
 // that builds up must not pass for the normal time. Before the first timings, and where a crowd was there
 // before them, the shortest aim is the target.
@@ -62,6 +67,7 @@
 		if o.next > quietCount {
 			target = min(target, o.target+o.target/creep)
 		}
+		target = max(target, o.floor)
 		o.target, o.max = target, target*2
 	}
 }
@@ -298,15 +304,30 @@
 			return
 		}
 		// When the cache servers and not the origin are the bottleneck there may be no miss to refuse: work
-		// of the lowest buckets is refused before it is sent to a crowded one.
-		if s != nil && len(q.attempts) == 0 && !q.Write && r.shed(q.bucket, &s.gauge) {
-			r.refuse(q)
+		// of the lowest buckets goes past a crowded one to the origin while that is quiet, else is refused.
+		// With next to nothing in hand it is not crowded: where all is refused its timings are old.
+		if s != nil && len(q.attempts) == 0 && !q.Write && len(s.gauge.out) >= inHand &&
+			r.shed(q.bucket, &s.gauge) {
+			if r.roomy(calm) {
+				r.fetch(q)
+			} else {
+				r.refuse(q)
+			}
 			return
 		}
 		r.send(q, s)
 	}
 }
 
+// roomy tells whether recent fetches show that the origin could do more.
+func (r *Router) roomy(below float64) bool {
+	if r.origin == nil {
+		return false
+	}
+	u, _ := r.origin.gauge.utilisation(r.now)
+	return u < below && r.origin.gauge.n > enough/2
+}
+
 // fetch gets a missed key from the origin, unless its bucket is being refused.
 func (r *Router) fetch(q *request) {
 	if r.origin != nil && r.shed(q.bucket, &r.origin.gauge) {
@@ -455,11 +476,6 @@
 	if q.ended || q.open > 0 {
 		return
 	}
-	roomy := false // recent fetches show that the origin could fetch what the next server lacks
-	if r.origin != nil {
-		u, _ := r.origin.gauge.utilisation(r.now)
-		roomy = u < spill && r.origin.gauge.n > enough/2
-	}
 	cache, unreached := s != r.origin, e.Reason == NoConnection || e.Reason == Reset || e.Reason == Cancelled
 	switch {
 	case e.Reason == Miss:
@@ -472,7 +488,8 @@
 			q.avoid = s
 		}
 		r.advance(q)
-	case cache && (unreached || e.Reason == Rejected && q.bucket != bulk && len(q.attempts) < 3 && roomy):
+	case cache && (unreached ||
+		e.Reason == Rejected && q.bucket != bulk && len(q.attempts) < 3 && r.roomy(spill)):
 		q.avoid = s
 		r.advance(q)
 	case cache && q.bucket == bulk:
--- a/brain/router.go
+++ b/brain/router.go
@@ -24,7 +24,8 @@
 type objectives struct {
 	quiet       []time.Duration // the last of them, as a ring
 	next        int
-	limit       time.Duration // the target is never above it
+	floor       time.Duration // the target is never below it
+	limit       time.Duration // nor above it
 	target, max time.Duration
 }
 
@@ -132,6 +133,7 @@
 		r.topWorth = max(r.topWorth, c.Worth)
 	}
 	r.pool.objectives = r.objectives()
+	r.pool.floor = time.Duration(float64(r.pool.limit) * poolFloor)
 	for b := range r.owed {
 		r.owed[b] = r.rng.Float64() // or all routers would refuse in step
 	}
