Never take what is left behind an answer for the next one, and end waits for a connection

Seen in the code, shown by tests: forward.conn.read called next() with bytes still buffered, so the next flow was written and the second copy read as its answer (TestMoreThanTheAnswer fails on every run without the change); a 1xx answer of the origin was returned as its answer; a forward for which no connection was free waited until its deadline (TestNoConnectionFree; at the origin, with Streams 1, from sockets/10 open fetches on). At fault: pool.go read/next, Send's waiting queue, origin.go Read; bounds of 1 MB and lines of 4 KB let a spoilt length or a line without end hold a flow until its deadline. Now: a connection with bytes behind the answer closes; before a write that nothing else waits on, the socket is looked at for bytes or an end, and the forward, not yet begun, moves to another connection (three times at most). NoRoom tells the module after a connect's time. 1xx are read over; values over 64 KiB, counts over 16 characters, unprintable lines and arrays that are not of three are garbage at once. After a failed connect the rest that wait are dialled for.

--- a/internal/forward/end.go
+++ b/internal/forward/end.go
@@ -13,7 +13,8 @@
 	Missed        // the server has no value for the key
 	Errored       // the server answered with an error; the work may have been done
 	Busy          // turned away unseen by the server
-	NotSent       // never written: its time was over, or there was no room to wait in
+	NotSent       // never written: its time was over
+	NoRoom        // never written: all connections are busy and no more may be opened
 	Drained       // never written: its server left the list while the forward waited for a connection
 	NoConnect     // no connection came up in time
 	CutShort      // the connection broke before the last byte was written
@@ -36,6 +37,7 @@
 	Errored:   {"errored", brain.Errored},
 	Busy:      {"busy", brain.Rejected},
 	NotSent:   {"not_sent", brain.Moot},
+	NoRoom:    {"no_room", brain.Rejected},
 	Drained:   {"drained", brain.Rejected}, // as the server itself would have answered
 	NoConnect: {"no_connect", brain.NoConnection},
 	CutShort:  {"cut_short", brain.NoConnection},
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"shelfproxy/internal/flow"
@@ -22,7 +23,9 @@
 
 	// Under the pool's lock.
 	conn    *conn
-	written bool // its first byte may be out
+	started bool // some of it may be out
+	moves   int  // connections that turned out to be of no use before it was written
+	written bool // all of it may be out
 	given   bool // given up: its answer is read and dropped
 }
 
@@ -35,9 +38,11 @@
 }
 
 // Reader reads answers from one connection, in order. Wait blocks until the first byte of an answer is there.
+// Buffered is how many bytes were read that belong to no answer yet.
 type Reader interface {
 	Wait() error
 	Read() (Answer, error)
+	Buffered() int
 }
 
 // ErrGarbage is returned by a Reader for bytes that are no answer.
@@ -83,6 +88,9 @@
 // because others took it all.
 const own = 2
 
+// maxMoves bounds how often a forward is given another connection, for a server that spoils each at its start.
+const maxMoves = 3
+
 // Pool holds the connections to one server. Its methods never wait on a socket.
 type Pool struct {
 	codec  Codec
@@ -124,6 +132,11 @@
 	if p.left {
 		return Drained, false
 	}
+	return p.place(f)
+}
+
+// place finds a forward of which nothing was written a connection, or lets it wait for one.
+func (p *Pool) place(f *Forward) (End, bool) {
 	if n := len(p.idle); n > 0 {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
@@ -147,12 +160,34 @@
 		best.push(f)
 	case len(p.waiting) < p.limits.Waiting:
 		p.waiting = append(p.waiting, f)
+		// No connection is on its way for this one. It waits no longer than it would for one, as the module may
+		// know better than to let it wait all its time.
+		time.AfterFunc(p.limits.Connect, func() {
+			if end, ok := p.withdraw(f); ok {
+				p.report(f, Answer{End: end})
+			}
+		})
 	default:
-		return NotSent, false
+		return NoRoom, false
 	}
 	return 0, true
 }
 
+// withdraw takes a forward out of those that wait for a connection, if it still does, and tells how it ends.
+func (p *Pool) withdraw(f *Forward) (End, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.Index(p.waiting, f)
+	if i < 0 {
+		return 0, false
+	}
+	p.waiting = slices.Delete(p.waiting, i, i+1)
+	if f.Flow == nil || len(p.conns) == 0 {
+		return NoConnect, true
+	}
+	return NoRoom, true
+}
+
 // Abandon gives a forward up and tells whether any of it may have been written. Its connection is closed,
 // which tells the server, unless others wait for answers on it: those must not be killed.
 func (p *Pool) Abandon(f *Forward) (written bool) {
@@ -210,6 +245,13 @@
 	return true
 }
 
+// dialMore opens a connection if more forwards wait than connections are on their way.
+func (p *Pool) dialMore() {
+	if len(p.waiting) > p.dialing {
+		p.dial()
+	}
+}
+
 func (p *Pool) connect(addr string, shared bool) {
 	nc, err := net.DialTimeout("tcp", addr, p.limits.Connect)
 	p.mu.Lock()
@@ -222,6 +264,7 @@
 		if len(p.waiting) > 0 {
 			failed, p.waiting = p.waiting[0], p.waiting[1:]
 		}
+		p.dialMore()
 		p.mu.Unlock()
 		if failed != nil {
 			p.report(failed, Answer{End: NoConnect})
@@ -282,8 +325,13 @@
 		p.mu.Lock()
 		// The list may have changed since the forward was queued here, and its flow may be over.
 		skip := c.closed || p.left || f.given
-		f.written = !skip
-		if skip && !c.closed {
+		if !skip && len(c.pending) == 1 && stale(c.net) {
+			c.close(Garbage) // what was pending, unwritten, goes to another connection
+			skip = true
+		}
+		if !skip {
+			f.started, f.written = true, true
+		} else if !c.closed {
 			c.pending = slices.DeleteFunc(c.pending, func(o *Forward) bool { return o == f })
 			c.next()
 		}
@@ -355,6 +403,9 @@
 			c.close(Broken) // the rest was given up
 		}
 		given := f.given
+		if r.Buffered() > 0 && (len(c.pending) == 0 || !c.pending[0].written) {
+			c.close(Garbage) // bytes behind the answer would pass for that of the next forward
+		}
 		c.next()
 		p.mu.Unlock()
 		if !given {
@@ -372,20 +423,49 @@
 		p.budget.give()
 	}
 	// Forwards may wait for a connection that this one's end makes room for.
-	if len(p.waiting) > p.dialing {
-		p.dial()
+	p.dialMore()
+	type result struct {
+		f *Forward
+		Answer
 	}
-	p.mu.Unlock()
+	var results []result
 	for _, f := range pending {
-		p.mu.Lock()
-		given, written := f.given, f.written
-		p.mu.Unlock()
 		switch {
-		case given:
-		case written:
-			p.report(f, Answer{End: c.end})
-		default:
-			p.report(f, Answer{End: CutShort})
+		case f.given:
+		case f.written:
+			results = append(results, result{f, Answer{End: c.end}})
+		case f.started:
+			results = append(results, result{f, Answer{End: CutShort}})
+		case p.left:
+			results = append(results, result{f, Answer{End: Drained}})
+		case f.moves == maxMoves:
+			results = append(results, result{f, Answer{End: NoConnect}})
+		default: // not one byte of it was written
+			f.conn = nil
+			f.moves++
+			if end, ok := p.place(f); !ok {
+				results = append(results, result{f, Answer{End: end}})
+			}
 		}
 	}
+	p.mu.Unlock()
+	for _, r := range results {
+		p.report(r.f, r.Answer)
+	}
+}
+
+// stale tells whether a connection on which nothing is awaited has bytes to read or has ended. An answer to a
+// request written now would not be told from such bytes, and a request written to a closed connection is lost. It
+// looks past the reading goroutine, which may not have run since the bytes came.
+func stale(c net.Conn) bool {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	var peeked error
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err != nil || !errors.Is(peeked, syscall.EAGAIN)
 }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -15,8 +15,11 @@
 	"shelfproxy/internal/forward"
 )
 
-// maxBody bounds a body that the origin sends.
-const maxBody = 1 << 20
+const (
+	maxBody    = 64 << 10 // of a value; one that is said to be larger may never end
+	maxHeader  = 64 << 10
+	maxInterim = 8 // 1xx answers ahead of one
+)
 
 // Codec writes the origin's requests and reads its responses. Its connections carry one request at a time.
 type Codec struct{ Host string }
@@ -53,13 +56,20 @@
 }
 
 func (r reader) Wait() error {
-	r.limit.N = 2 * maxBody
+	r.limit.N = maxHeader + 2*maxBody // a body may be chunked
 	_, err := r.Peek(1)
 	return err
 }
 
 func (r reader) Read() (forward.Answer, error) {
 	resp, err := http.ReadResponse(r.Reader, nil)
+	// 1xx answers come ahead of the one that counts; after 101 the connection would speak another protocol.
+	for n := 0; err == nil && resp.StatusCode < 200; n++ {
+		if n == maxInterim || resp.StatusCode == http.StatusSwitchingProtocols {
+			return forward.Answer{}, forward.ErrGarbage
+		}
+		resp, err = http.ReadResponse(r.Reader, nil)
+	}
 	if err != nil {
 		return forward.Answer{}, bad(err)
 	}
--- a/internal/target/resp.go
+++ b/internal/target/resp.go
@@ -9,9 +9,10 @@
 
 // Bounds of an answer. Past them it is garbage, and nothing of its size is allocated.
 const (
-	maxBulk  = 1 << 20
-	maxItems = 16
-	maxLine  = 4 << 10
+	maxBulk  = 64 << 10 // of a value; one that is said to be larger may never end
+	maxItems = 3
+	maxLine  = 512
+	maxCount = 16 // of a line that gives a count or a length
 )
 
 // reply is one RESP2 value; its data is a slice of the buffer.
@@ -26,14 +27,19 @@
 // yet. redcon.ReadNextRESP is not used here: it does not tell a broken value from a part of one, and a length
 // near the largest integer makes it panic.
 func parse(b []byte, depth int) (reply, int, error) {
-	eol := bytes.IndexByte(b[:min(len(b), maxLine)], '\n')
+	line := b[:min(len(b), maxLine)]
+	if len(b) > 0 && (b[0] == '$' || b[0] == '*' || b[0] == ':') {
+		line = b[:min(len(b), maxCount)]
+	}
+	eol := bytes.IndexByte(line, '\n')
 	if eol < 0 {
-		if len(b) >= maxLine || len(b) > 0 && bytes.IndexByte([]byte("+-:$*"), b[0]) < 0 {
+		// A line that can't end well is given up at once, as the rest of it may never come.
+		if len(line) < len(b) || len(line) == maxLine || len(b) > 0 && !wellBegun(line) {
 			return reply{}, 0, forward.ErrGarbage
 		}
 		return reply{}, 0, nil
 	}
-	if eol < 2 || b[eol-1] != '\r' {
+	if eol < 2 || b[eol-1] != '\r' || !wellBegun(line[:eol]) {
 		return reply{}, 0, forward.ErrGarbage
 	}
 	v, at := reply{kind: b[0], data: b[1 : eol-1]}, eol+1
@@ -72,3 +78,16 @@
 	}
 	return v, at, nil
 }
+
+// wellBegun tells whether this can be the start of a line: its kind, and printable text or a number. A carriage
+// return is looked for at the end only.
+func wellBegun(line []byte) bool {
+	text := bytes.TrimSuffix(line[1:], []byte{'\r'})
+	switch line[0] {
+	case '+', '-':
+		return !bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' || r > '~' })
+	case '$', '*', ':':
+		return !bytes.ContainsFunc(text, func(r rune) bool { return r != '-' && (r < '0' || r > '9') })
+	}
+	return false
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -73,6 +73,8 @@
 	return r.fill()
 }
 
+func (r *reader) Buffered() int { return r.end - r.start }
+
 // fill reads more. An answer that no longer fits the chunk moves to a new one.
 func (r *reader) fill() error {
 	if r.end == len(r.buf) {
@@ -110,18 +112,18 @@
 	switch {
 	case v.kind == '+':
 		return forward.Answer{End: forward.Served}, nil // PONG
+	case v.kind == '-' && (len(v.data) == 0 || v.data[0] < 'A' || v.data[0] > 'Z'):
+		return forward.Answer{}, forward.ErrGarbage
 	case v.kind == '-' && bytes.HasPrefix(v.data, busy):
 		return forward.Answer{End: forward.Busy, Load: lastWord(v.data)}, nil
 	case v.kind == '-':
 		return forward.Answer{End: forward.Errored, Load: lastWord(v.data)}, nil
-	case v.kind == '*' && len(v.items) >= 1 && v.items[0].kind == '$':
+	case v.kind == '*' && len(v.items) == maxItems && v.items[0].kind == '$':
 		a := forward.Answer{End: forward.Served, Value: v.items[0].data}
 		if v.items[0].null {
 			a.End = forward.Missed
 		}
-		if len(v.items) > 2 {
-			a.Load = v.items[2].data
-		}
+		a.Load = v.items[2].data
 		return a, nil
 	}
 	return forward.Answer{}, forward.ErrGarbage
--- a/tests/node_test.go
+++ b/tests/node_test.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -194,6 +196,42 @@
 	}
 }
 
+// What comes behind a good answer belongs to no request, and never passes for the answer to the next one.
+func TestMoreThanTheAnswer(t *testing.T) {
+	t.Parallel()
+	var served atomic.Int64
+	box := newTarget(t, func(args []string) string {
+		if args[1] == "absent" {
+			return miss
+		}
+		if served.Add(1)%2 == 0 {
+			return hit(args) + hit([]string{"", "", "of-another"})
+		}
+		return hit(args) + "noise\r\n"
+	})
+	r := newRig(t, box)
+	r.origin = func(w http.ResponseWriter, q *http.Request) {
+		id := q.Header.Get("X-Request-Id")
+		w.WriteHeader(http.StatusEarlyHints)
+		c, _, _ := w.(http.Hijacker).Hijack()
+		one := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(id))
+		io.WriteString(c, one+id+one+"of-another"[:len(id)])
+	}
+	set(r.config, "limits")["streams_per_conn"] = 1 // so that forwards wait for a connection to be free
+	r.config["limits"] = map[string]any{"sockets": 128}
+	r.start()
+	var clients []*client
+	for i := range 40 {
+		c := r.dial()
+		clients = append(clients, c.send("CACHE.GET", "k", fmt.Sprint("id", i), "c=read,d=2900"))
+	}
+	for i, c := range clients {
+		c.want(fmt.Sprint("value-id", i))
+		id := fmt.Sprint("o", i)
+		c.send("CACHE.GET", "absent", id, "c=read,d=2900").want(id)
+	}
+}
+
 // A connect that is refused never ran: the request goes on to where it can be served.
 func TestDeadServer(t *testing.T) {
 	t.Parallel()
@@ -203,6 +241,38 @@
 	r.start().dial().send("CACHE.GET", "k", "id", "c=read,d=2900").want("from-origin-id")
 }
 
+// A forward for which no connection is free is not left to wait all its flow's time: the module learns of it
+// and ends the flow in good time.
+func TestNoConnectionFree(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.config["limits"] = map[string]any{"sockets": 128}
+	hold := make(chan bool)
+	release := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(release)
+	r.origin = func(w http.ResponseWriter, q *http.Request) {
+		<-hold
+		fmt.Fprint(w, q.Header.Get("X-Request-Id"))
+	}
+	r.start()
+	const n = 30 // more than the connections to the origin
+	info := r.dial()
+	var clients []*client
+	for i := range n {
+		clients = append(clients, r.dial().send("CACHE.SET", "k", fmt.Sprint(i), "c=cert,d=60000", "v"))
+	}
+	r.until("those that found no connection are answered", func() bool {
+		return strings.Contains(info.send("INFO").answer(), fmt.Sprintf(
+			"flows_answered{class=%q,answer=%q} %d\n", "cert", "failed", n-len(r.asked)))
+	})
+	release()
+	for i, c := range clients {
+		if got := c.answer(); got != fmt.Sprint(i) && got != "-ERR failed" {
+			t.Errorf("answer %q to %d", got, i)
+		}
+	}
+}
+
 // After a change of the list nothing new goes to a server that drains, and a broken watch is opened again.
 func TestDrainingServer(t *testing.T) {
 	t.Parallel()
