Fetch reads that a cache server holds over its maximum from the origin while it is quiet

At fault: nothing in the module looks at a read that is out until its time is over, unless the whole server is silent. Taken: at the maximum where the server's own timings are good (it hangs on this one), at twice that where they are not. Test: TestHeldReadMovesOn; it fails without the call in upkeep.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -32,6 +32,7 @@
 	keyAge      = 30 * time.Second        // like maxAge, for popularity
 	criticalMax = 0.2                     // share over the maximum past which critical reads are refused too
 	extreme     = 0.5                     // share over the maximum at which writes beyond a share wait
+	moveMost    = 4                       // reads that move on from a cache server at a time
 	inHand      = 2                       // reads out at a cache server from which it can count as crowded
 	holdWrites  = 100 * time.Millisecond  // before they look again
 	spill       = 0.05                    // origin utilisation up to which a full server's reads move on
@@ -545,6 +546,24 @@
 	}
 }
 
+// moveOn fetches reads from the origin that a cache server has held for over its maximum, or twice that where
+// it is crowded, a few at a time while the origin is quiet. It hangs, or began an answer that never ends.
+func (r *Router) moveOn(s *server) {
+	if !r.set.Cancels || r.set.OriginKind == "" || !r.roomy(calm) {
+		return
+	}
+	patience := s.gauge.max
+	if s.gauge.slow > calm*s.gauge.n {
+		patience *= 2
+	}
+	for _, a := range slices.Clone(s.gauge.out[:min(len(s.gauge.out), moveMost)]) {
+		if q := a.q; !q.ended && !q.Write && q.class.Effect == Safe && r.now-a.at > patience {
+			q.missed = true
+			r.act(Cancel{ID: q.ID, Attempt: slices.Index(q.attempts, a)})
+		}
+	}
+}
+
 // upkeep looks for servers that no longer answer and asks for the list.
 func (r *Router) upkeep() {
 	r.act(SetTimer{At: r.now + upkeepEvery, Token: housekeep})
@@ -553,6 +572,7 @@
 		if !r.takesKeys(s) {
 			continue
 		}
+		r.moveOn(s)
 		patience := max(r.pool.target, upkeepEvery)
 		quiet := r.now - max(s.gauge.oldest(r.now), s.heard)
 		if s.silent && r.now-s.probeAt > max(askEvery, pace*time.Duration(r.set.Routers)) ||
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -376,6 +376,33 @@
 	}
 }
 
+// A read that one cache server holds and holds is fetched from the origin while that is quiet; a write never moves.
+func TestHeldReadMovesOn(t *testing.T) {
+	for _, busy := range []bool{false, true} {
+		b := learnt(t)
+		b.others(40)
+		id, _ := b.ask("low", "k", nil)
+		put, _ := b.ask("unsafe", "w", write)
+		b.now += 450 * ms // the target is half the aim of 500 ms, the maximum twice that
+		if got := find[Cancel](b.do(Timer{Token: housekeep})); len(got) > 0 {
+			t.Errorf("cancelled %v too early", got)
+		}
+		b.now += 100 * ms
+		for i := range 200 {
+			b.r.origin.gauge.observe(b.now, 10*ms, busy && i%3 == 0)
+		}
+		got := find[Cancel](b.do(Timer{Token: housekeep}))
+		if len(got) > 1 || len(got) > 0 == busy || len(got) > 0 && got[0].ID != id {
+			t.Fatalf("origin busy %v: cancelled %v; read %d, write %d", busy, got, id, put)
+		}
+		if len(got) > 0 {
+			if to := b.sentTo(b.end(id, Cancelled, 550*ms)); to != "o" {
+				t.Errorf("moved on to %s, want the origin", to)
+			}
+		}
+	}
+}
+
 // A spoilt answer or one broken connection is no death: the map stays, and the spoilt read is asked for again where
 // its object is. A probe without an answer after the break takes the server out.
 func TestSpoiltAnswersAndBreaksLeaveTheMap(t *testing.T) {
