Close clients that say nothing or half a command, and make room for usual ones first

Seen in the code, shown by the test: internal/listener had no limit on how long a connection may say nothing or stay within a command (TestClientsThatSayNothing waits in vain without the change); d=3600000 was believed, so that a flow and its connection could be held for an hour; redcon's buffer could hold 1 MB for each connection, with 32 MB in all. At fault: Listener.Serve waits for room with only idle connections closed one at an accept; guard's bounds; node.take.

--- a/cmd/shelfproxy/main.go
+++ b/cmd/shelfproxy/main.go
@@ -80,7 +80,7 @@
 	originLimits := limits
 	originLimits.Streams, originLimits.Conns = 1, origins
 
-	n, err := node.New(node.Options{Module: cfg.Module, Seed: cfg.Seed, MaxOpen: cfg.Node.MaxOpen,
+	n, err := node.New(node.Options{Module: cfg.Module, Seed: cfg.Seed, MaxOpen: cfg.Node.MaxOpen, MaxWait: cfg.Node.LongestWait,
 		Known: cfg.Known, Source: &discovery.Client{Addr: cfg.Discovery}, Count: count, Log: os.Stderr,
 		Upstream: func(s discovery.Server, isOrigin bool, report func(*forward.Forward, forward.Answer)) node.Upstream {
 			if isOrigin {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -10,6 +10,7 @@
 // Counters may be used from any goroutine.
 type Counters struct {
 	Accepted, AcceptFailed, WriteFailed                   atomic.Int64 // the clients' connections
+	Silent, Evicted                                       atomic.Int64 // closed by the node: without a request, for room
 	Malformed, BadFraming, Duplicate                      atomic.Int64 // commands that are no request
 	Opened, OriginOpened                                  atomic.Int64 // connections to servers
 	Probes, Watches, Lists, WatchesBroken, WatchesGarbage atomic.Int64
@@ -53,6 +54,8 @@
 	line(&c.Accepted, "listener_accepted")
 	line(&c.AcceptFailed, "listener_accept_failed")
 	line(&c.WriteFailed, "listener_write_failed")
+	line(&c.Silent, "listener_closed_silent")
+	line(&c.Evicted, "listener_closed_for_room")
 	line(&c.Malformed, "commands_malformed")
 	line(&c.BadFraming, "commands_bad_framing")
 	line(&c.Duplicate, "commands_duplicate")
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -4,14 +4,16 @@
 	"errors"
 	"io"
 	"strings"
+	"sync/atomic"
+	"time"
 )
 
 // Bounds of one command, past which its framing counts as broken. A value somewhat over the largest is still
 // read whole, so that the client gets an answer on it.
 const (
 	maxArgs    = 64
-	maxArg     = 512 << 10
-	maxCommand = 1 << 20
+	maxArg     = 72 << 10
+	maxCommand = 80 << 10
 )
 
 var (
@@ -31,8 +33,9 @@
 	bulk   bool // the line in hand gives the length of a bulk string, not a count of them
 	n      int  // number read so far in the line
 	digits int
-	args   int // bulk strings of the command still to come
-	size   int // bytes of the command so far
+	args   int          // bulk strings of the command still to come
+	size   int          // bytes of the command so far
+	began  atomic.Int64 // when the first byte of the command in hand came; 0 between commands
 }
 
 // What the guard expects next.
@@ -73,6 +76,9 @@
 		if g.bulk = g.args > 0; g.bulk && c != '$' || !g.bulk && c != '*' {
 			return errFraming
 		}
+		if !g.bulk {
+			g.began.Store(time.Now().UnixNano())
+		}
 		g.n, g.digits, g.state = 0, 0, inNumber
 	case inNumber:
 		switch {
@@ -101,6 +107,7 @@
 		g.state = atStart
 		if g.args--; g.args == 0 {
 			g.size = 0
+			g.began.Store(0)
 		}
 	}
 	return nil
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -24,6 +24,15 @@
 	Write     time.Duration // a client that takes no bytes for so long is stuck
 }
 
+// How long a connection with no open request may stay.
+const (
+	silent = 2500 * time.Millisecond // with nothing said yet, or half a command: it would be owed an error by 3 s
+	crowd  = 2 * time.Second         // idle, with over half the table in use
+	idle   = time.Minute             // idle otherwise
+	young  = 100 * time.Millisecond  // about to say its first word
+	tick   = 200 * time.Millisecond  // between looks at all connections
+)
+
 // Listener accepts clients and serves them until it is closed.
 type Listener struct {
 	ln      net.Listener
@@ -52,6 +61,7 @@
 
 // Serve accepts until Close.
 func (l *Listener) Serve() error {
+	go l.sweep()
 	for {
 		nc, err := l.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -63,33 +73,70 @@
 			continue
 		}
 		l.mu.Lock()
-		c := &conn{l: l, net: nc, used: time.Now()}
+		c := &conn{l: l, net: nc, used: time.Now(), guard: guard{rd: nc}}
 		c.ready.L = &c.mu
 		l.conns[c] = struct{}{}
 		l.done.Add(2)
 		l.count.Accepted.Add(1)
 		go c.read()
 		go c.write()
-		if len(l.conns) >= l.limits.Conns {
-			l.closeOldestIdle()
-		}
 		for len(l.conns) >= l.limits.Conns && !l.draining {
+			l.evict()
 			l.room.Wait() // the rest waits in the kernel's queue
 		}
 		l.mu.Unlock()
 	}
 }
 
-func (l *Listener) closeOldestIdle() {
-	var oldest *conn
+// evict makes room in a full table: whoever never made a request goes first, then the one idle for longest.
+func (l *Listener) evict() {
+	var worst *conn
+	var said bool
 	var used time.Time
+	now := time.Now()
 	for c := range l.conns {
-		if at, idle := c.idleSince(); idle && (oldest == nil || at.Before(used)) {
-			oldest, used = c, at
+		s := c.look()
+		if s.open || s.leaving || !s.said && now.Sub(s.since) < young {
+			continue
 		}
+		if worst == nil || !s.said && said || s.said == said && s.since.Before(used) {
+			worst, said, used = c, s.said, s.since
+		}
+	}
+	if worst != nil {
+		l.count.Evicted.Add(1)
+		worst.finish()
 	}
-	if oldest != nil {
-		oldest.finish()
+}
+
+// sweep closes connections that say nothing, or have nothing more to say, until the listener is closed. Without it
+// they would stay for good and keep usual clients out.
+func (l *Listener) sweep() {
+	for range time.Tick(tick) {
+		now := time.Now()
+		l.mu.Lock()
+		if l.draining {
+			l.mu.Unlock()
+			return
+		}
+		patience := idle
+		if len(l.conns) > l.limits.Conns/2 {
+			patience = crowd
+		}
+		for c := range l.conns {
+			s := c.look()
+			if s.open || s.leaving || now.Sub(s.since) < min(patience, silent) {
+				continue
+			}
+			if !s.said || now.Sub(s.since) >= patience {
+				if !s.said {
+					l.count.Silent.Add(1)
+				}
+				c.finish()
+			}
+		}
+		l.room.Broadcast() // one that is no longer too young may go now
+		l.mu.Unlock()
 	}
 }
 
@@ -121,22 +168,36 @@
 }
 
 type conn struct {
-	l   *Listener
-	net net.Conn
+	l     *Listener
+	net   net.Conn
+	guard guard
 
 	mu     sync.Mutex
 	ready  sync.Cond
 	slots  []*slot
-	used   time.Time // when the last answer was written
+	used   time.Time // when it was accepted, or the last answer was written
+	said   bool      // a command came whole
 	last   bool      // close once all that is owed is written
 	ended  bool      // the writing goroutine is done: no further command is taken
 	closed bool
 }
 
-func (c *conn) idleSince() (time.Time, bool) {
+// standing is what counts for whether a connection may stay.
+type standing struct {
+	open    bool // a request is open
+	leaving bool // its end is on the way
+	said    bool // a command came whole, and none is in hand
+	since   time.Time
+}
+
+func (c *conn) look() standing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, len(c.slots) == 0
+	s := standing{open: len(c.slots) > 0, leaving: c.last || c.closed, said: c.said, since: c.used}
+	if began := c.guard.began.Load(); began != 0 {
+		s.said, s.since = false, time.Unix(0, began)
+	}
+	return s
 }
 
 func (c *conn) finish() {
@@ -149,8 +210,7 @@
 // read takes commands until the client leaves or breaks the framing.
 func (c *conn) read() {
 	defer c.l.done.Done()
-	guard := &guard{rd: c.net}
-	rd := redcon.NewReader(guard)
+	rd := redcon.NewReader(&c.guard)
 	for {
 		// The reader copies each command's bytes into a buffer of the command's own, so its slices may be kept.
 		cmd, err := rd.ReadCommand()
@@ -214,7 +274,7 @@
 	if c.closed || c.ended {
 		return false
 	}
-	c.slots = append(c.slots, s)
+	c.slots, c.said = append(c.slots, s), true
 	if s.ready {
 		c.ready.Broadcast()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	Module   brain.Settings
 	Seed     uint64
 	MaxOpen  int
+	MaxWait  time.Duration // no class waits for longer; a client that says so is not believed
 	Known    discovery.List
 	Source   discovery.Source
 	Upstream func(s discovery.Server, origin bool, report func(*forward.Forward, forward.Answer)) Upstream
@@ -242,7 +243,11 @@
 	}
 	n.opt.Count.In(class)
 	n.nextID++
-	s := &state{Flow: f, id: n.nextID, class: class, deadline: f.Taken.Add(max(f.Wait-transit, time.Millisecond))}
+	wait := f.Wait
+	if n.opt.MaxWait > 0 {
+		wait = min(wait, n.opt.MaxWait)
+	}
+	s := &state{Flow: f, id: n.nextID, class: class, deadline: f.Taken.Add(max(wait-transit, time.Millisecond))}
 	n.flows[s.id], n.byFlow[f], n.ids[string(f.ID)] = s, s, true
 	n.open++
 	if n.open > n.opt.MaxOpen { // nothing of it has run
--- a/tests/node_test.go
+++ b/tests/node_test.go
@@ -247,6 +247,9 @@
 	t.Parallel()
 	r := newRig(t)
 	r.config["limits"] = map[string]any{"sockets": 128}
+	for _, lane := range r.config["settings"].(map[string]any)["lanes"].([]any) {
+		lane.(map[string]any)["deadline"] = 60000000
+	}
 	hold := make(chan bool)
 	release := sync.OnceFunc(func() { close(hold) })
 	t.Cleanup(release)
@@ -338,6 +341,33 @@
 	})
 }
 
+// Clients that say nothing, or half a command, are closed, however few there are; one that made a request may stay.
+// A wait that no class allows is not believed.
+func TestClientsThatSayNothing(t *testing.T) {
+	t.Parallel()
+	box, release := stuckTarget(t)
+	defer close(release)
+	r := newRig(t, box).start()
+	start := time.Now()
+	usual, silent, half, long := r.dial(), r.dial(), r.dial(), r.dial()
+	usual.send("CACHE.GET", "k", "id1", "c=read,d=2900").want("value-id1")
+	long.send("CACHE.GET", "stuck", "id2", "c=read,d=3600000")
+	half.send("CACHE.GET", "k", "id3", "c=read,d=2900").want("value-id3")
+	io.WriteString(half, "*4\r\n$9\r\nCACHE")
+	silent.want("closed")
+	half.want("closed")
+	if took := time.Since(start); took > 10*time.Second {
+		t.Errorf("closed after %v", took)
+	}
+	if info := usual.send("INFO").answer(); !strings.Contains(info, "listener_closed_silent 2\n") {
+		t.Errorf("counters: %s", info)
+	}
+	long.want("-")
+	if took := time.Since(start); took > 10*time.Second {
+		t.Errorf("answered after %v, want no longer than the longest wait of a class", took)
+	}
+}
+
 // More clients than there are descriptors for: the connection idle for longest makes room, the others stay.
 func TestClientsBeyondTheLimit(t *testing.T) {
 	t.Parallel()
