Ask again when a probe's connection breaks, and need two without an answer to leave a server out

Each node took servers out of its map 22 times, half of the servers were in use at the end, reads waited 156 ms (median) for their first attempt, and for 11079 requests clients had no connection left. Now: a broken probe is sent again, twice at most in a row, and two without an answer are needed, as for time-outs. Ruled out: the stale list (nothing was sent to the wrong place), CPU (0.13 s in the worst second) and memory (10 MB).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -33,6 +33,7 @@
 	criticalMax = 0.2                     // share over the maximum past which critical reads are refused too
 	extreme     = 0.5                     // share over the maximum at which writes beyond a share wait
 	moveMost    = 4                       // reads that move on from a cache server at a time
+	maxResets   = 2                       // probes in a row that may break before that counts as no answer
 	inHand      = 2                       // reads out at a cache server from which it can count as crowded
 	holdWrites  = 100 * time.Millisecond  // before they look again
 	spill       = 0.05                    // origin utilisation up to which a full server's reads move on
@@ -454,9 +455,6 @@
 			r.unreached[s.Zone]++
 		}
 		s.gauge.observe(r.now, e.Took, true)
-		if e.Reason == Reset {
-			s.doubted = r.now // one probe without an answer is then enough
-		}
 		r.suspect(s)
 	case OK, Errored, Rejected:
 		s.gauge.observe(r.now, e.Took, e.Reason != OK)
@@ -503,7 +501,7 @@
 
 // alive notes a sign of life.
 func (r *Router) alive(s *server) {
-	s.heard = r.now
+	s.heard, s.resets = r.now, 0
 	r.unreached[s.Zone] = 0
 	if s.silent {
 		s.silent = false
@@ -537,6 +535,9 @@
 	switch {
 	case reason != TimedOut && reason != NoConnection && reason != Reset: // turned away is a sign of life
 		r.alive(s)
+	case reason == Reset && s.resets < maxResets: // connections break on a bad network too: ask on another
+		s.resets++
+		r.probe(s)
 	case s.silent || s.heard >= s.probeAt:
 	case s.doubted > s.heard:
 		r.silence(s)
--- a/brain/router.go
+++ b/brain/router.go
@@ -49,6 +49,7 @@
 	probeAt Time    // last probe
 	doubted Time    // a probe failed
 	heard   Time    // last sign of life
+	resets  int     // probes that broke since
 	cold    Time    // start of its warm-up; 0 when warm
 	asked   float64 // requests, or parts of those of hot keys, that it was a choice for; counted like keys
 	gauge   gauge
