Give what must not run twice a connection of its own, never a kept one

At fault: Pool.Send took the connection used last whatever the request may risk. Now: node.send marks forwards of at-most-once classes as Fresh, and the pool dials for them where the limits allow. Checked: a reset of a read or a keyed write costs a repeat only; new connections for all would cost each server 3 to 6 ms of work. A look at the socket before the write (stale) can't see a reset that follows it. Test: TestNoKeptConnectionForWhatMustNotRunTwice.

--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -20,6 +20,7 @@
 	Server   string
 	Sent     time.Time // when the node handed it to the pool
 	Deadline time.Time
+	Fresh    bool // wants a connection of its own: on a kept one that is closed just then it may have run
 
 	// Under the pool's lock.
 	conn    *conn
@@ -137,6 +138,9 @@
 
 // place finds a forward of which nothing was written a connection, or lets it wait for one.
 func (p *Pool) place(f *Forward) (End, bool) {
+	if f.Fresh && p.dialFor(f) {
+		return 0, true
+	}
 	if n := len(p.idle); n > 0 {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
@@ -231,7 +235,10 @@
 }
 
 // dial opens a connection if the limits allow one more.
-func (p *Pool) dial() bool {
+func (p *Pool) dial() bool { return p.dialFor(nil) }
+
+// dialFor opens one for this forward alone, where there is one.
+func (p *Pool) dialFor(f *Forward) bool {
 	n := len(p.conns) + p.dialing
 	if n >= p.limits.Conns {
 		return false
@@ -241,7 +248,7 @@
 		return false
 	}
 	p.dialing++
-	go p.connect(p.addr, shared)
+	go p.connect(p.addr, shared, f)
 	return true
 }
 
@@ -252,7 +259,7 @@
 	}
 }
 
-func (p *Pool) connect(addr string, shared bool) {
+func (p *Pool) connect(addr string, shared bool, only *Forward) {
 	nc, err := net.DialTimeout("tcp", addr, p.limits.Connect)
 	p.mu.Lock()
 	p.dialing--
@@ -260,10 +267,13 @@
 		if shared {
 			p.budget.give()
 		}
-		var failed *Forward
-		if len(p.waiting) > 0 {
+		failed := only
+		if only == nil && len(p.waiting) > 0 {
 			failed, p.waiting = p.waiting[0], p.waiting[1:]
 		}
+		if failed != nil && failed.given {
+			failed = nil
+		}
 		p.dialMore()
 		p.mu.Unlock()
 		if failed != nil {
@@ -276,8 +286,16 @@
 	p.opened()
 	go c.write()
 	go c.read()
+	wanted := only != nil && !only.given
+	if wanted && !p.left {
+		c.push(only)
+	}
 	c.next()
+	drained := wanted && p.left
 	p.mu.Unlock()
+	if drained {
+		p.report(only, Answer{End: Drained})
+	}
 }
 
 // push gives a forward to a connection that has room for it.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -335,7 +335,7 @@
 		return
 	}
 	f := &forward.Forward{Flow: s.Flow, Attempt: len(s.forwards), Server: a.Server, Sent: time.Now(),
-		Deadline: s.deadline}
+		Deadline: s.deadline, Fresh: n.opt.Module.Classes[s.class].Effect == brain.Unsafe}
 	s.forwards = append(s.forwards, f)
 	s.out++
 	n.opt.Count.Sent(s.class)
--- a/tests/node_test.go
+++ b/tests/node_test.go
@@ -276,6 +276,25 @@
 	}
 }
 
+// A kept connection may be closed by the server just as a request is written on it, which then may have run. What
+// must not run twice is not put there; the rest is.
+func TestNoKeptConnectionForWhatMustNotRunTwice(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.origin = func(w http.ResponseWriter, q *http.Request) { fmt.Fprint(w, q.RemoteAddr) }
+	c := r.start().dial()
+	for class, kept := range map[string]bool{"put": true, "cert": false} {
+		var last string
+		for i := range 3 {
+			from := c.send("CACHE.SET", "k", fmt.Sprint(class, i), "c="+class+",d=2900", "v").answer()
+			if i > 0 && (from == last) != kept {
+				t.Errorf("%s: sent from %s after %s", class, from, last)
+			}
+			last = from
+		}
+	}
+}
+
 // After a change of the list nothing new goes to a server that drains, and a broken watch is opened again.
 func TestDrainingServer(t *testing.T) {
 	t.Parallel()
