Give the node verbs, an operator's file in TOML and structured logs

Need: the node had one flag, constants in code where operators want fields, and a log of free text that trouble could flood.

Change: cmd/shelfproxy has run (also what no verb means), check, version and config show, on cobra. An operator's TOML file (--file or SHELFPROXY_FILE) sets log, listener, pools, shutdown and limits, and, without LB_CONFIG, the whole service; LB_CONFIG goes first, then the LB_ variables, then the file. internal/tomlfile refuses unknown fields and names file, line and field, also for values found wrong later. Logs are log/slog lines with a component and a stable event name, text on a terminal and JSON otherwise; an event is limited to 10 lines in 10 s and the rest are counted. The counters at the end are one such line. -check is now the verb check.

--- /dev/null
+++ b/cmd/shelfproxy/run.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"shelfproxy/internal/config"
+	"shelfproxy/internal/counters"
+	"shelfproxy/internal/discovery"
+	"shelfproxy/internal/flow"
+	"shelfproxy/internal/forward"
+	"shelfproxy/internal/listener"
+	"shelfproxy/internal/logs"
+	"shelfproxy/internal/node"
+	"shelfproxy/internal/origin"
+	"shelfproxy/internal/target"
+)
+
+// unsent is how long before the last moment connections are closed with what they could not take.
+const unsent = 200 * time.Millisecond
+
+// daemon is the running node and what signals do to it.
+type daemon struct {
+	cfg   *config.Config
+	file  string
+	log   *slog.Logger
+	count *counters.Counters
+	node  *node.Node
+	front *listener.Listener
+}
+
+func run(cfg *config.Config, file string) error {
+	// From here on, as a signal that is not caught ends the program. One of a kind that waits is enough: it is
+	// looked at after the others came.
+	hup, term, usr := catch(syscall.SIGHUP), catch(syscall.SIGTERM, syscall.SIGINT), catch(syscall.SIGUSR1)
+	d, err := assemble(cfg, file)
+	if err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		d.node.Run(stop)
+		close(ended)
+	}()
+	go d.front.Serve()
+	d.log.Info("the node is up", logs.Event, "started", "name", cfg.Name, "listen", cfg.Listen)
+
+	var over <-chan struct{} // once SIGTERM came; reloads go on until then
+	for {
+		select {
+		case <-hup:
+			d.reload()
+		case <-usr:
+			d.tally()
+		case <-term:
+			if over == nil {
+				d.log.Info("the node ends", logs.Event, "stopping")
+				over = d.shutDown()
+			}
+		case <-over:
+			close(stop)
+			<-ended
+			d.tally()
+			return nil
+		}
+	}
+}
+
+// assemble makes the node's parts and opens its listener.
+func assemble(cfg *config.Config, file string) (*daemon, error) {
+	op := cfg.Operator
+	level, _ := logs.Level(op.Log.Level) // checked as it was read
+	log := logs.New(os.Stderr, logs.Options{Level: level, Format: op.Log.Format})
+	if cfg.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	}
+	// The collector keeps well under the limit on memory, past which the node is killed.
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 6 / 10)
+
+	classes := make([]string, len(cfg.Module.Classes))
+	for i, c := range cfg.Module.Classes {
+		classes[i] = c.Name
+	}
+	ends := make([]string, forward.Ends())
+	for i := range ends {
+		ends[i] = forward.End(i).String()
+	}
+	count := counters.New(classes, flow.Kinds(), ends)
+
+	// Descriptors: a part is for discovery, the log and the runtime, the rest is divided.
+	sockets := float64(cfg.Sockets - 32)
+	targets, origins := forward.NewBudget(int(sockets*op.Pools.TargetShare)), max(1, int(sockets*op.Pools.OriginShare))
+	limits := forward.Limits{Connect: cfg.Node.ConnectTimeout, Idle: cfg.Node.ConnIdle * 8 / 10,
+		Streams: cfg.Node.Streams, Conns: op.Pools.Connections, Waiting: op.Pools.Waiting}
+	originLimits := limits
+	originLimits.Streams, originLimits.Conns = 1, origins
+
+	n, err := node.New(node.Options{Module: cfg.Module, Seed: cfg.Seed, MaxOpen: cfg.Node.MaxOpen, MaxWait: cfg.Node.LongestWait,
+		Known: cfg.Known, Source: &discovery.Client{Addr: cfg.Discovery}, Count: count, Log: logs.Component(log, "node"),
+		Upstream: func(s discovery.Server, isOrigin bool, report func(*forward.Forward, forward.Answer)) node.Upstream {
+			if isOrigin {
+				return forward.NewPool(s.Addr, origin.Codec{Host: s.Addr}, originLimits,
+					forward.NewBudget(origins), report, func() { count.OriginOpened.Add(1) })
+			}
+			return forward.NewPool(s.Addr, target.Codec{}, limits, targets, report, func() { count.Opened.Add(1) })
+		}})
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	front := listener.New(ln, n, classes, listener.Limits{Conns: int(sockets * op.Listener.Share),
+		Pipelined: op.Listener.Pipelined, Value: 64 << 10, Write: op.Listener.Write.D(), Silent: op.Listener.Silent.D(),
+		Crowd: op.Listener.IdleCrowded.D(), Idle: op.Listener.Idle.D()}, count)
+	return &daemon{cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front}, nil
+}
+
+func catch(signals ...os.Signal) <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, signals...)
+	return c
+}
+
+// tally writes the counters to the log, as one line.
+func (d *daemon) tally() {
+	attrs := []slog.Attr{slog.String(logs.Event, "counters")}
+	d.count.Each(func(name string, n int64) { attrs = append(attrs, slog.Int64(name, n)) })
+	d.log.LogAttrs(context.Background(), slog.LevelInfo, "what came in, was sent and was answered", attrs...)
+}
+
+// reload takes over what a new configuration changes. Only discovery can move while the node runs; a configuration
+// with an error changes nothing.
+func (d *daemon) reload() {
+	cfg, err := config.Load(os.Getenv, d.file)
+	if err != nil {
+		d.count.ReloadsBad.Add(1)
+		d.log.Error("reload: the running configuration stays", logs.Event, "reload_refused", "error", err.Error())
+		return
+	}
+	d.count.Reloads.Add(1)
+	for _, field := range d.cfg.Fixed(cfg) {
+		d.log.Warn("reload: a field changed that takes effect at the next start", logs.Event, "reload_waits", "field", field)
+	}
+	if d.cfg.Discovery != cfg.Discovery {
+		d.log.Info("reload: discovery moves", logs.Event, "discovery_moved", "from", d.cfg.Discovery, "to", cfg.Discovery)
+		d.node.Follow(&discovery.Client{Addr: cfg.Discovery})
+		kept := *d.cfg
+		kept.Discovery = cfg.Discovery
+		d.cfg = &kept
+	}
+}
+
+// shutDown ends the service after a moment of grace, as clients go on for a moment after SIGTERM. The channel is
+// closed when all that is owed is answered, or when there is no more time for it.
+func (d *daemon) shutDown() <-chan struct{} {
+	over := make(chan struct{})
+	op := d.cfg.Operator.Shutdown
+	// No flow waits for longer than its class may, and that is what the platform reckons with.
+	last := time.Now().Add(min(d.cfg.Node.LongestWait+op.Grace.D()-unsent, op.Last.D()))
+	go func() {
+		defer close(over)
+		time.Sleep(op.Grace.D())
+		d.front.Close()
+		answered := make(chan struct{})
+		go func() {
+			<-d.node.Drain(last)
+			d.front.Wait()
+			close(answered)
+		}()
+		select {
+		case <-answered:
+		case <-time.After(time.Until(last) + unsent):
+		}
+	}()
+	return over
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,10 +1,11 @@
-// Package config reads what a node is told at its start.
+// Package config reads what a node is told at its start: LB_CONFIG and the LB_ variables of the platform, and the
+// operator's own file. It decides nothing; every value keeps where it came from.
 package config
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strconv"
@@ -23,32 +24,113 @@
 	MemoryMB, Sockets       int
 	Known                   discovery.List
 	Settings
-	settings []byte // as they were read
+	Operator *Operator
+
+	seed string            // as it was given
+	from map[string]string // where a field came from; the default without an entry
 }
 
+// FileVariable is the variable that names the operator's file where the command line does not.
+const FileVariable = "SHELFPROXY_FILE"
+
 // Fixed names the fields in which another configuration differs and that a running node can't change. The seed and
 // the list known are for the start alone.
 func (c *Config) Fixed(other *Config) (fields []string) {
-	for _, f := range []struct {
-		name string
-		same bool
-	}{{"name", c.Name == other.Name}, {"listen", c.Listen == other.Listen},
-		{"limits.cores", c.Cores == other.Cores}, {"limits.memory_mb", c.MemoryMB == other.MemoryMB},
-		{"limits.sockets", c.Sockets == other.Sockets}, {"settings", bytes.Equal(c.settings, other.settings)}} {
-		if !f.same {
-			fields = append(fields, f.name)
+	mine, theirs := c.Show(), other.Show()
+	for i, s := range mine {
+		switch {
+		case s.Field == "discovery" || s.Field == "seed" || s.Field == "known":
+		case i >= len(theirs) || theirs[i].Field != s.Field:
+			return append(fields, "settings") // other classes
+		case theirs[i].Value != s.Value:
+			fields = append(fields, s.Field)
 		}
 	}
+	if len(theirs) > len(mine) {
+		fields = append(fields, "settings")
+	}
 	return fields
 }
 
-// Load reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN and LB_DISCOVERY stand in for what it lacks. An
-// error names the field.
-func Load(getenv func(string) string) (*Config, error) {
-	path := getenv("LB_CONFIG")
+// Load reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN and LB_DISCOVERY stand in for what it lacks, and the
+// operator's file at path, or else the one that SHELFPROXY_FILE names, for what these lack. An error names the
+// field.
+func Load(getenv func(string) string, path string) (*Config, error) {
 	if path == "" {
+		path = getenv(FileVariable)
+	}
+	op, err := readOperator(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{Operator: op, from: map[string]string{}}
+	c.fromFile()
+	for _, e := range []struct {
+		variable, field string
+		to              *string
+	}{{"LB_NAME", "name", &c.Name}, {"LB_LISTEN", "listen", &c.Listen}, {"LB_DISCOVERY", "discovery", &c.Discovery}} {
+		if v := getenv(e.variable); v != "" {
+			*e.to, c.from[e.field] = v, e.variable
+		}
+	}
+	platform := getenv("LB_CONFIG")
+	var v *fastjson.Value
+	switch {
+	case platform != "":
+		if v, err = c.fromPlatform(platform); err != nil {
+			return nil, err
+		}
+	case op.file == nil:
 		return nil, errors.New("LB_CONFIG: not set")
+	case op.Service == nil:
+		return nil, op.file.Errorf("service", "missing, and LB_CONFIG is not set")
+	}
+	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return nil, fmt.Errorf("%s: %q is no host and port", a.field, a.addr)
+		}
+	}
+	if v != nil {
+		err = c.platformSettings(v, platform)
+	} else if c.Settings, err = op.settings(); err == nil {
+		c.from["settings"] = c.place("service")
+	}
+	if err != nil {
+		return nil, err
+	}
+	if c.seed == "" && v == nil {
+		// Nodes with the same random numbers would all do the same thing at the same moment.
+		c.Seed, c.from["seed"] = rand.Uint64(), "drawn at the start"
+	} else if c.seed != "" {
+		if c.Seed, err = strconv.ParseUint(c.seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %q is not 64 bits in hex", c.seed)
+		}
 	}
+	return c, nil
+}
+
+// place is where the operator's file sets a field.
+func (c *Config) place(field string) string {
+	f := c.Operator.file
+	return fmt.Sprintf("%s:%d", f.Path, f.Line(field))
+}
+
+// fromFile takes what the operator's file sets beside the parts that only it can set.
+func (c *Config) fromFile() {
+	o := c.Operator
+	c.Name, c.Listen, c.Discovery, c.seed = o.Node.Name, o.Node.Listen, o.Node.Discovery, o.Node.Seed
+	c.Cores, c.MemoryMB, c.Sockets = o.Limits.Cores, o.Limits.MemoryMB, o.Limits.Sockets
+	for field, inFile := range map[string]string{"name": "node.name", "listen": "node.listen",
+		"discovery": "node.discovery", "seed": "node.seed", "limits.cores": "limits.cores",
+		"limits.memory_mb": "limits.memory_mb", "limits.sockets": "limits.sockets"} {
+		if o.file.Has(inFile) {
+			c.from[field] = c.place(inFile)
+		}
+	}
+}
+
+// fromPlatform reads the file that LB_CONFIG names, but for its settings. What it says goes before all else.
+func (c *Config) fromPlatform(path string) (*fastjson.Value, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("LB_CONFIG: %w", err)
@@ -57,66 +139,60 @@
 	if err != nil {
 		return nil, fmt.Errorf("LB_CONFIG: %s: not JSON: %w", path, err)
 	}
-	c := &Config{Name: str(v, "name", getenv("LB_NAME")), Listen: str(v, "listen", getenv("LB_LISTEN")),
-		Discovery: str(v, "discovery", getenv("LB_DISCOVERY"))}
-	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
-		if _, _, err := net.SplitHostPort(a.addr); err != nil {
-			return nil, fmt.Errorf("%s: %q is no host and port", a.field, a.addr)
+	for _, s := range []struct {
+		field string
+		to    *string
+	}{{"name", &c.Name}, {"listen", &c.Listen}, {"discovery", &c.Discovery}, {"seed", &c.seed}} {
+		if b := v.GetStringBytes(s.field); b != nil {
+			*s.to, c.from[s.field] = string(b), path
 		}
 	}
-	if seed := str(v, "seed", ""); seed != "" {
-		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
-			return nil, fmt.Errorf("seed: %q is not 64 bits in hex", seed)
+	if f := v.Get("limits", "cores"); f != nil {
+		if c.Cores, err = f.Float64(); err != nil || c.Cores < 0 {
+			return nil, fmt.Errorf("limits.cores: %s is not a number from 0", f.MarshalTo(nil))
 		}
+		c.from["limits.cores"] = path
 	}
-	if c.Cores = v.GetFloat64("limits", "cores"); c.Cores < 0 {
-		return nil, errors.New("limits.cores: negative")
-	}
-	if c.MemoryMB, err = number(v, 192, 32, "limits", "memory_mb"); err != nil {
+	if err := c.number(v, path, &c.MemoryMB, 32, "memory_mb"); err != nil {
 		return nil, err
 	}
-	if c.Sockets, err = number(v, 1024, 128, "limits", "sockets"); err != nil {
+	if err := c.number(v, path, &c.Sockets, 128, "sockets"); err != nil {
 		return nil, err
 	}
 	if known := v.Get("known"); known != nil && known.Type() != fastjson.TypeNull {
 		if c.Known, err = discovery.Parse(known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
+		c.from["known"] = path
 	}
+	return v, nil
+}
+
+func (c *Config) platformSettings(v *fastjson.Value, path string) (err error) {
 	set := v.Get("settings")
 	if set == nil {
-		return nil, errors.New("settings: missing")
+		return errors.New("settings: missing")
 	}
-	c.settings = set.MarshalTo(nil)
-	if c.Settings, err = ParseSettings(c.settings); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+	if c.Settings, err = ParseSettings(set.MarshalTo(nil)); err != nil {
+		return fmt.Errorf("settings: %w", err)
 	}
+	c.from["settings"] = path
 	if _, err = brain.New(c.Module, c.Seed); err != nil { // a reload must not accept what a start would not
-		return nil, fmt.Errorf("settings: %w", err)
+		return fmt.Errorf("settings: %w", err)
 	}
-	return c, nil
+	return nil
 }
 
-func str(v *fastjson.Value, field, otherwise string) string {
-	if b := v.GetStringBytes(field); b != nil {
-		return string(b)
-	}
-	return otherwise
-}
-
-// number reads a whole number that may be left out.
-func number(v *fastjson.Value, otherwise, least int, path ...string) (int, error) {
-	name := path[0]
-	for _, p := range path[1:] {
-		name += "." + p
-	}
-	f := v.Get(path...)
+// number reads a whole number of the limits that may be left out.
+func (c *Config) number(v *fastjson.Value, path string, to *int, least int, name string) error {
+	f := v.Get("limits", name)
 	if f == nil {
-		return otherwise, nil
+		return nil
 	}
 	n, err := f.Float64()
 	if err != nil || n < float64(least) || n > 1<<52 {
-		return 0, fmt.Errorf("%s: %s is not a number from %d", name, f.MarshalTo(nil), least)
+		return fmt.Errorf("limits.%s: %s is not a number from %d", name, f.MarshalTo(nil), least)
 	}
-	return int(n), nil
+	*to, c.from["limits."+name] = int(n), path
+	return nil
 }
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,257 @@
+package config
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"shelfproxy/brain"
+	"shelfproxy/internal/logs"
+	"shelfproxy/internal/tomlfile"
+)
+
+// Operator is the operator's own file, in TOML. Whatever LB_CONFIG and the LB_ variables say goes before it; what
+// neither says has the default given here.
+type Operator struct {
+	// Node is what LB_CONFIG says under the same names.
+	Node struct {
+		Name      string `toml:"name"`
+		Listen    string `toml:"listen"`    // host and port for clients
+		Discovery string `toml:"discovery"` // host and port of the service that knows the list
+		Seed      string `toml:"seed"`      // 64 bits in hex
+	} `toml:"node"`
+	Limits struct {
+		Cores    float64 `toml:"cores"`     // of processor; 0: all there are
+		MemoryMB int     `toml:"memory_mb"` // 32 or more
+		Sockets  int     `toml:"sockets"`   // descriptors, 128 or more
+	} `toml:"limits"`
+	Log struct {
+		Level  string `toml:"level"`  // debug, info, warn or error
+		Format string `toml:"format"` // auto, text or json; auto is text on a terminal
+	} `toml:"log"`
+	Listener Listener `toml:"listener"`
+	Pools    Pools    `toml:"pools"`
+	Shutdown Shutdown `toml:"shutdown"`
+	Service  *Service `toml:"service"` // in place of LB_CONFIG's settings
+
+	file *tomlfile.File
+}
+
+// Listener bounds what clients may hold.
+type Listener struct {
+	Share       float64           `toml:"share"`        // of the descriptors, 0.1 to 0.8
+	Pipelined   int               `toml:"pipelined"`    // commands of a connection that wait for answers, 1 to 4096
+	Write       tomlfile.Duration `toml:"write"`        // a client that takes no bytes for so long is closed
+	Silent      tomlfile.Duration `toml:"silent"`       // and one that said nothing, or half a command
+	Idle        tomlfile.Duration `toml:"idle"`         // and one without an open request
+	IdleCrowded tomlfile.Duration `toml:"idle_crowded"` // the same with over half of the table in use
+}
+
+// Pools bounds the connections to cache servers and the origin.
+type Pools struct {
+	TargetShare float64 `toml:"target_share"` // of the descriptors, for all cache servers together, 0.05 to 0.8
+	OriginShare float64 `toml:"origin_share"` // and for the origin, 0.02 to 0.5
+	Connections int     `toml:"connections"`  // to one cache server, 1 to 4096
+	Waiting     int     `toml:"waiting"`      // forwards that wait for a connection to one server, 1 to 65536
+}
+
+// Shutdown says how a node ends.
+type Shutdown struct {
+	Grace tomlfile.Duration `toml:"grace"` // taking goes on for so long after SIGTERM
+	Last  tomlfile.Duration `toml:"last"`  // every answer is given by then, however long its client would wait
+}
+
+// Service is what the nodes of a deployment have in common.
+type Service struct {
+	Nodes          int               `toml:"nodes"` // that share the traffic
+	Zone           string            `toml:"zone"`  // of this node
+	Subscribe      bool              `toml:"subscribe"`
+	Probes         bool              `toml:"probes"`
+	Cancel         bool              `toml:"cancel"`
+	MaxAttempts    int               `toml:"max_attempts"`
+	MaxOpen        int               `toml:"max_open"`
+	Streams        int               `toml:"streams_per_connection"`
+	ConnectTimeout tomlfile.Duration `toml:"connect_timeout"`
+	ConnectionIdle tomlfile.Duration `toml:"connection_idle"`
+	RetryAfter     tomlfile.Duration `toml:"max_retry_after"` // 0: clients follow no advice
+	OriginKind     string            `toml:"origin_kind"`
+	SizedWeights   bool              `toml:"sized_weights"`
+	Tick           tomlfile.Duration `toml:"tick"`
+	Cold           struct {
+		From      float64           `toml:"from"`
+		WarmAfter tomlfile.Duration `toml:"warm_after"`
+		Overload  float64           `toml:"overload"`
+	} `toml:"cold"`
+	Class []ServiceClass `toml:"class"`
+}
+
+// ServiceClass is one class of requests.
+type ServiceClass struct {
+	Name     string            `toml:"name"`
+	Worth    float64           `toml:"worth"`
+	Aim      tomlfile.Duration `toml:"aim"`
+	Late     float64           `toml:"late_worth"`
+	Deadline tomlfile.Duration `toml:"deadline"`
+	Effect   string            `toml:"effect"` // idempotent, deduplicated or at_most_once
+	Group    string            `toml:"group"`  // all, zone or cell: who drops a repeat
+	Window   tomlfile.Duration `toml:"window"`
+}
+
+// defaults are those that every installation starts from.
+func defaults() *Operator {
+	o := &Operator{
+		Listener: Listener{Share: 0.5, Pipelined: 128, Write: tomlfile.Duration(10 * time.Second),
+			Silent: tomlfile.Duration(2500 * time.Millisecond), Idle: tomlfile.Duration(time.Minute),
+			IdleCrowded: tomlfile.Duration(2 * time.Second)},
+		Pools: Pools{TargetShare: 0.3, OriginShare: 0.1, Connections: 64, Waiting: 512},
+		Shutdown: Shutdown{Grace: tomlfile.Duration(600 * time.Millisecond),
+			Last: tomlfile.Duration(3400 * time.Millisecond)},
+	}
+	o.Limits.MemoryMB, o.Limits.Sockets = 192, 1024
+	o.Log.Level, o.Log.Format = "info", "auto"
+	return o
+}
+
+// readOperator reads the file; without a path there are the defaults.
+func readOperator(path string) (*Operator, error) {
+	o := defaults()
+	if path == "" {
+		return o, nil
+	}
+	o.Service = serviceDefaults()
+	file, err := tomlfile.Read(path, o)
+	if err != nil {
+		return nil, err
+	}
+	if file.Line("service") == 0 { // the defaults alone are no service
+		o.Service = nil
+	}
+	o.file = file
+	return o, o.validate()
+}
+
+func (o *Operator) validate() error {
+	for _, a := range []struct{ field, addr string }{{"node.listen", o.Node.Listen}, {"node.discovery", o.Node.Discovery}} {
+		if _, _, err := net.SplitHostPort(a.addr); o.file.Has(a.field) && err != nil {
+			return o.file.Errorf(a.field, "%q is no host and port", a.addr)
+		}
+	}
+	if _, err := logs.Level(o.Log.Level); err != nil {
+		return o.file.Errorf("log.level", "%v", err)
+	}
+	if !slices.Contains(logs.Formats, o.Log.Format) {
+		return o.file.Errorf("log.format", "%q is none of %s", o.Log.Format, strings.Join(logs.Formats, ", "))
+	}
+	l, p, s := o.Listener, o.Pools, o.Shutdown
+	for _, r := range []struct {
+		field          string
+		v, least, most float64
+	}{
+		{field: "limits.cores", v: o.Limits.Cores, least: 0, most: 1024},
+		{field: "limits.memory_mb", v: float64(o.Limits.MemoryMB), least: 32, most: 1 << 20},
+		{field: "limits.sockets", v: float64(o.Limits.Sockets), least: 128, most: 1 << 20},
+		{field: "listener.share", v: l.Share, least: 0.1, most: 0.8},
+		{field: "listener.pipelined", v: float64(l.Pipelined), least: 1, most: 4096},
+		{field: "pools.target_share", v: p.TargetShare, least: 0.05, most: 0.8},
+		{field: "pools.origin_share", v: p.OriginShare, least: 0.02, most: 0.5},
+		{field: "pools.connections", v: float64(p.Connections), least: 1, most: 4096},
+		{field: "pools.waiting", v: float64(p.Waiting), least: 1, most: 65536},
+	} {
+		if !(r.v >= r.least && r.v <= r.most) {
+			return o.file.Errorf(r.field, "%v is not from %v to %v", r.v, r.least, r.most)
+		}
+	}
+	if sum := l.Share + p.TargetShare + p.OriginShare; sum > 1 {
+		return o.file.Errorf("listener.share", "with pools.target_share and pools.origin_share it makes %.2f, more than 1", sum)
+	}
+	for _, r := range []struct {
+		field       string
+		v           tomlfile.Duration
+		least, most time.Duration
+	}{
+		{"listener.write", l.Write, 100 * time.Millisecond, time.Hour},
+		{"listener.silent", l.Silent, 100 * time.Millisecond, time.Hour},
+		{"listener.idle", l.Idle, 100 * time.Millisecond, 24 * time.Hour},
+		{"listener.idle_crowded", l.IdleCrowded, 10 * time.Millisecond, 24 * time.Hour},
+		{"shutdown.grace", s.Grace, 0, time.Minute},
+		{"shutdown.last", s.Last, 100 * time.Millisecond, 10 * time.Minute},
+	} {
+		if d := r.v.D(); d < r.least || d > r.most {
+			return o.file.Errorf(r.field, "%s is not from %s to %s", r.v, r.least, r.most)
+		}
+	}
+	if s.Last < s.Grace {
+		return o.file.Errorf("shutdown.last", "%s is before the end of shutdown.grace, %s", s.Last, s.Grace)
+	}
+	return nil
+}
+
+// settings makes of the service what LB_CONFIG's settings make.
+func (o *Operator) settings() (Settings, error) {
+	in := o.Service
+	at := func(field string) string { return "service." + field }
+	set := Settings{
+		Module: brain.Settings{Routers: in.Nodes, Zone: in.Zone, MustAsk: in.Subscribe, Probes: in.Probes,
+			Cancels: in.Cancel, MaxAttempts: in.MaxAttempts, MaxRetryAfter: in.RetryAfter.D(), Tick: in.Tick.D(),
+			OriginKind: in.OriginKind, SizedUnits: in.SizedWeights, ColdFrom: in.Cold.From,
+			WarmAfter: in.Cold.WarmAfter.D(), FallFactor: in.Cold.Overload},
+		Node: Node{MaxOpen: in.MaxOpen, Streams: in.Streams, ConnectTimeout: in.ConnectTimeout.D(),
+			ConnIdle: in.ConnectionIdle.D()},
+	}
+	for _, f := range []struct {
+		field string
+		bad   bool
+		text  string
+	}{
+		{"nodes", in.Nodes < 1, "must be at least 1"},
+		{"max_attempts", in.MaxAttempts < 1, "must be at least 1"},
+		{"max_open", in.MaxOpen < 1, "must be at least 1"},
+		{"streams_per_connection", in.Streams < 1, "must be at least 1"},
+		{"connect_timeout", in.ConnectTimeout <= 0, "must be above 0"},
+		{"connection_idle", in.ConnectionIdle <= 0, "must be above 0"},
+		{"cold.from", !(in.Cold.From >= 0 && in.Cold.From <= 1), "must be from 0 to 1"},
+		{"cold.overload", !(in.Cold.Overload > 0), "must be above 0"},
+		{"class", len(in.Class) == 0, "there must be one at least"},
+	} {
+		if f.bad {
+			return set, o.file.Errorf(at(f.field), "%s", f.text)
+		}
+	}
+	for i, c := range in.Class {
+		field := func(name string) string { return fmt.Sprintf("service.class[%d].%s", i, name) }
+		effect, ok := effects[c.Effect]
+		group, known := groups[c.Group]
+		switch {
+		case c.Name == "":
+			return set, o.file.Errorf(field("name"), "missing")
+		case !ok:
+			return set, o.file.Errorf(field("effect"), "%q is none of idempotent, deduplicated, at_most_once", c.Effect)
+		case !known:
+			return set, o.file.Errorf(field("group"), "%q is none of all, zone, cell", c.Group)
+		case c.Aim <= 0:
+			return set, o.file.Errorf(field("aim"), "must be above 0")
+		case c.Deadline < c.Aim:
+			return set, o.file.Errorf(field("deadline"), "must not be before aim")
+		case !(c.Worth >= 0):
+			return set, o.file.Errorf(field("worth"), "must not be negative")
+		}
+		set.Module.Classes = append(set.Module.Classes, brain.Class{Name: c.Name, Worth: c.Worth, Aim: c.Aim.D(),
+			Late: c.Late, Effect: effect, Group: group, Window: c.Window.D()})
+		set.Node.LongestWait = max(set.Node.LongestWait, c.Deadline.D())
+	}
+	if _, err := brain.New(set.Module, 0); err != nil {
+		return set, o.file.Errorf("service", "%v", err)
+	}
+	return set, nil
+}
+
+// serviceDefaults are what a [service] starts from. Without the table there is none.
+func serviceDefaults() *Service {
+	s := &Service{Nodes: 1, Subscribe: true, Probes: true, Cancel: true, MaxAttempts: 6, MaxOpen: 20000, Streams: 1,
+		ConnectTimeout: tomlfile.Duration(250 * time.Millisecond), ConnectionIdle: tomlfile.Duration(30 * time.Second),
+		OriginKind: "origin", Tick: tomlfile.Duration(5 * time.Millisecond)}
+	s.Cold.From, s.Cold.WarmAfter, s.Cold.Overload = 0.13, tomlfile.Duration(23*time.Second), 3
+	return s
+}
--- /dev/null
+++ b/internal/config/show.go
@@ -0,0 +1,85 @@
+package config
+
+import (
+	"fmt"
+	"strconv"
+
+	"shelfproxy/brain"
+)
+
+// Setting is one value in force and where it came from: a file (with its line for the operator's), a variable, or
+// "default".
+type Setting struct{ Field, Value, From string }
+
+var effectWords = map[brain.Effect]string{brain.Safe: "idempotent", brain.Keyed: "deduplicated", brain.Unsafe: "at_most_once"}
+
+// Show lists every value in force, in a fixed order.
+func (c *Config) Show() []Setting {
+	var out []Setting
+	add := func(field string, v any, from string) {
+		if from == "" {
+			from = "default"
+		}
+		out = append(out, Setting{field, fmt.Sprint(v), from})
+	}
+	own := func(field string, v any) { add(field, v, c.from[field]) }
+	own("name", c.Name)
+	own("listen", c.Listen)
+	own("discovery", c.Discovery)
+	own("seed", strconv.FormatUint(c.Seed, 16))
+	own("limits.cores", c.Cores)
+	own("limits.memory_mb", c.MemoryMB)
+	own("limits.sockets", c.Sockets)
+	own("known", fmt.Sprintf("%d servers at version %d", len(c.Known.Servers), c.Known.Version))
+
+	o := c.Operator
+	file := func(field string, v any) {
+		from := ""
+		if o.file.Has(field) {
+			from = c.place(field)
+		}
+		add(field, v, from)
+	}
+	file("log.level", o.Log.Level)
+	file("log.format", o.Log.Format)
+	file("listener.share", o.Listener.Share)
+	file("listener.pipelined", o.Listener.Pipelined)
+	file("listener.write", o.Listener.Write)
+	file("listener.silent", o.Listener.Silent)
+	file("listener.idle", o.Listener.Idle)
+	file("listener.idle_crowded", o.Listener.IdleCrowded)
+	file("pools.target_share", o.Pools.TargetShare)
+	file("pools.origin_share", o.Pools.OriginShare)
+	file("pools.connections", o.Pools.Connections)
+	file("pools.waiting", o.Pools.Waiting)
+	file("shutdown.grace", o.Shutdown.Grace)
+	file("shutdown.last", o.Shutdown.Last)
+
+	m, n := c.Module, c.Node
+	set := func(field string, v any) { add("settings."+field, v, c.from["settings"]) }
+	set("nodes", m.Routers)
+	set("zone", m.Zone)
+	set("subscribe", m.MustAsk)
+	set("probes", m.Probes)
+	set("cancel", m.Cancels)
+	set("max_attempts", m.MaxAttempts)
+	set("max_retry_after", m.MaxRetryAfter)
+	set("max_open", n.MaxOpen)
+	set("streams_per_connection", n.Streams)
+	set("connect_timeout", n.ConnectTimeout)
+	set("connection_idle", n.ConnIdle)
+	set("longest_wait", n.LongestWait)
+	set("origin_kind", m.OriginKind)
+	set("sized_weights", m.SizedUnits)
+	set("tick", m.Tick)
+	set("cold", fmt.Sprintf("from %v, warm after %v, falls over past %v", m.ColdFrom, m.WarmAfter, m.FallFactor))
+	set("prices", fmt.Sprintf("connection %v, handshake %v", m.ConnectionPrice, m.HandshakePrice))
+	for _, cl := range m.Classes {
+		set("class."+cl.Name, fmt.Sprintf("worth %v, aim %v, late %v, %s, window %v, group %v", cl.Worth, cl.Aim, cl.Late,
+			effectWords[cl.Effect], cl.Window, cl.Group))
+	}
+	for _, t := range m.Tenants {
+		set("tenant."+t.Name, fmt.Sprintf("%v a second", t.Quota))
+	}
+	return out
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -48,9 +48,13 @@
 // String is all counters, one name and figure a line.
 func (c *Counters) String() string {
 	var b strings.Builder
-	line := func(n *atomic.Int64, name string, args ...any) {
-		fmt.Fprintf(&b, name+" %d\n", append(args, n.Load())...)
-	}
+	c.Each(func(name string, n int64) { fmt.Fprintf(&b, "%s %d\n", name, n) })
+	return b.String()
+}
+
+// Each calls f with every counter, always in the same order.
+func (c *Counters) Each(f func(name string, n int64)) {
+	line := func(n *atomic.Int64, name string, args ...any) { f(fmt.Sprintf(name, args...), n.Load()) }
 	line(&c.Accepted, "listener_accepted")
 	line(&c.AcceptFailed, "listener_accept_failed")
 	line(&c.WriteFailed, "listener_write_failed")
@@ -80,5 +84,4 @@
 			line(&c.ended[i*len(c.ends)+j], "forwards_ended{class=%q,end=%q}", class, end)
 		}
 	}
-	return b.String()
 }
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -29,6 +29,9 @@
 	Invalid      // the request makes no sense to the node; Text says why
 )
 
+// Kinds names the kinds of final answers, in their order.
+func Kinds() []string { return []string{"served", "refused", "failed", "invalid"} }
+
 // Response is the final answer of a flow.
 type Response struct {
 	Kind       Kind
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -22,15 +22,16 @@
 	Pipelined int           // commands of one connection that wait for their answers
 	Value     int           // bytes of a value
 	Write     time.Duration // a client that takes no bytes for so long is stuck
+
+	// How long a connection with no open request may stay.
+	Silent time.Duration // with nothing said yet, or half a command: it is owed an error by 3 s on the platform
+	Crowd  time.Duration // idle, with over half the table in use
+	Idle   time.Duration // idle otherwise
 }
 
-// How long a connection with no open request may stay.
 const (
-	silent = 2500 * time.Millisecond // with nothing said yet, or half a command: it would be owed an error by 3 s
-	crowd  = 2 * time.Second         // idle, with over half the table in use
-	idle   = time.Minute             // idle otherwise
-	young  = 100 * time.Millisecond  // about to say its first word
-	tick   = 200 * time.Millisecond  // between looks at all connections
+	young = 100 * time.Millisecond // about to say its first word
+	tick  = 200 * time.Millisecond // between looks at all connections
 )
 
 // Listener accepts clients and serves them until it is closed.
@@ -119,13 +120,13 @@
 			l.mu.Unlock()
 			return
 		}
-		patience := idle
+		patience := l.limits.Idle
 		if len(l.conns) > l.limits.Conns/2 {
-			patience = crowd
+			patience = l.limits.Crowd
 		}
 		for c := range l.conns {
 			s := c.look()
-			if s.open || s.leaving || now.Sub(s.since) < min(patience, silent) {
+			if s.open || s.leaving || now.Sub(s.since) < min(patience, l.limits.Silent) {
 				continue
 			}
 			if !s.said || now.Sub(s.since) >= patience {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,8 +4,8 @@
 
 import (
 	"container/heap"
-	"fmt"
-	"io"
+	"log/slog"
+	"reflect"
 	"time"
 
 	"shelfproxy/brain"
@@ -13,6 +13,7 @@
 	"shelfproxy/internal/discovery"
 	"shelfproxy/internal/flow"
 	"shelfproxy/internal/forward"
+	"shelfproxy/internal/logs"
 )
 
 // Upstream carries forwards to one server; forward.Pool is one.
@@ -33,7 +34,7 @@
 	Source   discovery.Source
 	Upstream func(s discovery.Server, origin bool, report func(*forward.Forward, forward.Answer)) Upstream
 	Count    *counters.Counters
-	Log      io.Writer
+	Log      *slog.Logger
 }
 
 const (
@@ -200,11 +201,6 @@
 	}
 }
 
-// Logf writes a line of the log.
-func (n *Node) Logf(format string, args ...any) {
-	fmt.Fprintf(n.opt.Log, "%s "+format+"\n", append([]any{time.Now().UTC().Format("15:04:05.000")}, args...)...)
-}
-
 func (n *Node) do(a brain.Action) {
 	switch a := a.(type) {
 	case brain.Send:
@@ -228,9 +224,9 @@
 	case brain.Subscribe:
 		n.subscribe()
 	case brain.Log:
-		n.Logf("%s", a.Text)
+		n.opt.Log.Info(a.Text, logs.Event, "module")
 	default:
-		n.Logf("action %T is not known", a)
+		n.opt.Log.Error("the module asked for what this node does not know", logs.Event, "action_unknown", "action", reflect.TypeOf(a).String())
 	}
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -7,6 +7,7 @@
 	"shelfproxy/brain"
 	"shelfproxy/internal/discovery"
 	"shelfproxy/internal/forward"
+	"shelfproxy/internal/logs"
 )
 
 var serverStates = map[discovery.State]brain.ServerState{discovery.Up: brain.Live,
@@ -109,7 +110,7 @@
 		} else {
 			n.opt.Count.WatchesBroken.Add(1)
 		}
-		n.Logf("watch: %v", err)
+		n.opt.Log.Warn("the watch on discovery ended", logs.Event, "watch_ended", "error", err.Error())
 		n.healthy, n.watch = false, n.watch+1
 		n.tell(brain.List{Scope: brain.Failed})
 	default:
--- a/tests/node_test.go
+++ b/tests/node_test.go
@@ -426,7 +426,7 @@
 	owed.want("closed")
 	err := <-r.exited
 	r.exited <- err // for the clean-up
-	if err != nil || !strings.Contains(r.log.String(), `flows_answered{class="read",answer="served"} 2`) {
+	if err != nil || !strings.Contains(r.log.String(), `"flows_answered{class=\"read\",answer=\"served\"}":2`) {
 		t.Errorf("ended with %v, log: %s", err, &r.log)
 	}
 }
@@ -443,7 +443,7 @@
 		r.replace(bad)
 		r.cmd.Process.Signal(syscall.SIGHUP)
 	}
-	r.logged(`reload: the running configuration stays: discovery: "nowhere" is no host and port`)
+	r.logged(`"event":"reload_refused","error":"discovery: \"nowhere\" is no host and port"`)
 	r.config["discovery"] = next.config["discovery"]
 	r.config["limits"].(map[string]any)["sockets"] = 512
 	text, _ := json.Marshal(r.config)
@@ -455,7 +455,7 @@
 		t.Errorf("the new watch asks for %q, want what came after 41", q)
 	}
 	r.until("the old watch is closed", func() bool { return r.open.Load() == 0 })
-	r.logged("reload: limits.sockets changed; it takes effect at the next start")
+	r.logged(`"event":"reload_waits","field":"limits.sockets"`)
 	next.tell(list(43, false, instance("s0", box.addr, "box", "draining")))
 	r.until("the new discovery is heard", func() bool { return box.connections() == 0 })
 	c.send("CACHE.GET", "k", "id2", "c=read,d=2900").want("from-origin-id2")
