Model the portal as state machines without clock or sockets, with seeded faults

Need: everything planned next needs a portal of our own, and two drivers of it, the sockets of the emulator and a virtual clock, must not differ in what a box does.

Portal.Step and Tick take (now, event) and return effects; random streams are PCG, named by part and seed.

--- /dev/null
+++ b/internal/lab/model/portal.go
@@ -0,0 +1,894 @@
+package model
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Spec is all that a portal is made of.
+type Spec struct {
+	Seed       uint64
+	Nodes      []NodeSpec
+	Boxes      []BoxSpec
+	Origin     OriginSpec
+	OriginZone string
+	Roster     RosterSpec
+	Link       LinkSpec
+	Classes    []ClassSpec
+	Faults     []Fault
+}
+
+// NodeSpec is a node as the portal sees it.
+type NodeSpec struct{ Name, Zone string }
+
+// BoxSpec is a box that is there from the start.
+type BoxSpec struct {
+	Kind  *BoxKind
+	Zone  string
+	Cell  int
+	Speed float64
+}
+
+// ClassSpec is what the requests of a class cost.
+type ClassSpec struct {
+	Name                string
+	WorkLeast, WorkMost time.Duration
+}
+
+// OriginID is the id and the kind of the origin in the list.
+const OriginID = "origin"
+
+// Events of a driver.
+type (
+	// Event is one of the types below it.
+	Event interface{ event() }
+	// Connect says that a node's connection came up at the server of a slot.
+	Connect struct {
+		Conn       ConnID
+		Node, Slot int
+	}
+	// Closed says that the node ended a connection.
+	Closed struct{ Conn ConnID }
+	// Arrive says that the last byte of a request was written to a connection. Its Work is set by the portal.
+	Arrive struct{ Request }
+	// Probe asks a server for a sign of life or, with Load, its load.
+	Probe struct {
+		Conn ConnID
+		Seq  uint64
+		Load bool
+	}
+	// Ask is a call of discovery: for the whole list, or for what came after a version and from then on.
+	Ask struct {
+		Call  uint64
+		Node  int
+		Watch bool
+		After int64
+	}
+	// HangUp ends a call from the node's side.
+	HangUp struct{ Call uint64 }
+)
+
+func (Connect) event() {}
+func (Closed) event()  {}
+func (Arrive) event()  {}
+func (Probe) event()   {}
+func (Ask) event()     {}
+func (HangUp) event()  {}
+
+// DoorState is what becomes of new connections to a slot.
+type DoorState int
+
+// The states of a door.
+const (
+	Open   DoorState = iota
+	Shut             // refused
+	Silent           // never come up
+)
+
+// Effects for a driver.
+type (
+	// Effect is one of the types below it.
+	Effect interface{ effect() }
+	// Door says what becomes of new connections from a node to a slot from now on. All doors are shut at first.
+	Door struct {
+		Slot, Node int
+		State      DoorState
+	}
+	// Reset ends a connection from the server's side, with whatever is on its way on it.
+	Reset struct{ Conn ConnID }
+	// Answer is written to a connection, after those that were written to it before.
+	Answer struct {
+		Conn    ConnID
+		Seq     uint64
+		Server  string
+		Request string // id of the client's request; empty for a probe
+		Outcome Outcome
+		Copy    Copy
+		Load    Load
+		Spoilt  SpoiltKind
+		Loaded  bool // the load was asked for
+	}
+	// Told is what discovery writes to a call. One that Ends gets nothing more; one that Failed gets a 503, or a
+	// reset where it had begun.
+	Told struct {
+		Call         uint64
+		List         *List // nil is an empty line
+		Ends, Failed bool
+	}
+	// Ran says that work on a request began, for the rules; it is not seen by nodes.
+	Ran struct {
+		Request, Server, Class string
+		Seq                    uint64
+	}
+	// Fell says that a cold box was pushed over.
+	Fell struct{ Server string }
+)
+
+func (Door) effect()   {}
+func (Reset) effect()  {}
+func (Answer) effect() {}
+func (Told) effect()   {}
+func (Ran) effect()    {}
+func (Fell) effect()   {}
+
+// Portal is all of it. It is not safe for concurrent use.
+type Portal struct {
+	spec    Spec
+	now     Time
+	due     timers
+	nextDue uint64
+	out     []Effect
+
+	servers []*server // in the order in which they came; those long gone are dropped
+	bySlot  map[int]*server
+	slots   int
+	ids     int
+	origin  *server
+	roster  *roster
+	conns   map[ConnID]*conn
+	work    map[string]ClassSpec
+	missed  map[string]*misses
+	misses  []*misses // in the order of their times
+
+	speeds, links, lags, spoil *rand.Rand
+
+	hash    *xxhash.Digest
+	line    []byte
+	Trace   func(line []byte) // gets every line of the event log, if set; it must not keep it
+	started bool
+}
+
+type server struct {
+	id, zone   string
+	cell, slot int
+	kind       *BoxKind // nil for the origin
+	box        *box
+	origin     *origin
+	started    Time // as the roster tells; 0 is long ago
+
+	kills, frozen, stalled, draining int
+	slow, spoilt, lossy              []float64
+	cuts                             []int // by node
+	leaving                          bool  // it drains and will go
+	gone                             bool  // and is gone for good
+	dead                             bool  // its process is not there
+	doors                            []DoorState
+
+	open      []ConnID // ascending
+	held      []func() // messages that came while it was frozen
+	published Time     // when the roster learns of the latest change
+	timer     uint64   // number of the wake that counts
+}
+
+type conn struct {
+	id      ConnID
+	server  *server
+	node    int
+	in, out *link
+	cut     bool // something was lost on it
+}
+
+type misses struct {
+	id    string
+	at    Time
+	boxes []*server
+}
+
+// New makes a portal. Start puts it into the state of time 0.
+func New(spec Spec) *Portal {
+	p := &Portal{spec: spec, bySlot: map[int]*server{}, conns: map[ConnID]*conn{}, work: map[string]ClassSpec{},
+		missed: map[string]*misses{}, hash: xxhash.New(),
+		speeds: Stream(spec.Seed, "speeds"), links: Stream(spec.Seed, "links"), lags: Stream(spec.Seed, "lags"),
+		spoil: Stream(spec.Seed, "spoilt")}
+	p.roster = &roster{spec: spec.Roster, rand: p.lags}
+	for _, c := range spec.Classes {
+		p.work[c.Name] = c
+	}
+	return p
+}
+
+// Start brings the boxes and the origin up and books the faults.
+func (p *Portal) Start() []Effect {
+	if p.started {
+		return nil
+	}
+	p.started = true
+	p.origin = p.add(&server{id: OriginID, zone: p.spec.OriginZone, origin: newOrigin(p.spec.Origin, p.spec.Seed)})
+	p.roster.set(p.entry(p.origin))
+	for _, b := range p.spec.Boxes {
+		s := p.newBoxServer(b.Kind, b.Speed, b.Zone, b.Cell, p.slots, false)
+		p.roster.set(p.entry(s))
+	}
+	for i, f := range p.spec.Faults {
+		p.at(f.At, func() { p.begin(i) })
+	}
+	return p.take()
+}
+
+// Step takes an event. Time must not go back; a time before the latest counts as that one.
+func (p *Portal) Step(now Time, ev Event) []Effect {
+	p.pass(now)
+	switch e := ev.(type) {
+	case Connect:
+		p.connect(e)
+	case Closed:
+		p.closed(e.Conn)
+	case Arrive:
+		p.arrive(e)
+	case Probe:
+		p.probe(e)
+	case Ask:
+		p.ask(e)
+	case HangUp:
+		p.note("hang-up", strconv.FormatUint(e.Call, 10))
+		p.hangUp(e.Call)
+	}
+	return p.take()
+}
+
+// Tick does what is due.
+func (p *Portal) Tick(now Time) []Effect {
+	p.pass(now)
+	return p.take()
+}
+
+// Wake is when Tick is wanted next; Never is not.
+func (p *Portal) Wake() Time {
+	if len(p.due) == 0 {
+		return Never
+	}
+	return p.due[0].at
+}
+
+// Hash is that of the event log so far.
+func (p *Portal) Hash() uint64 { return p.hash.Sum64() }
+
+// List is the whole list as discovery has it now.
+func (p *Portal) List() List { return p.roster.whole() }
+
+func (p *Portal) take() []Effect {
+	out := p.out
+	p.out = nil
+	return out
+}
+
+// pass does what is due up to now, each at its own time.
+func (p *Portal) pass(now Time) {
+	for len(p.due) > 0 && p.due[0].at <= now {
+		t := heap.Pop(&p.due).(*timer)
+		p.now = max(p.now, t.at)
+		t.run()
+	}
+	p.now = max(p.now, now)
+}
+
+// note adds a line to the event log.
+func (p *Portal) note(what string, about ...string) {
+	b := strconv.AppendInt(p.line[:0], int64(p.now), 10)
+	b = append(append(b, ' '), what...)
+	for _, a := range about {
+		b = append(append(b, ' '), a...)
+	}
+	p.line = append(b, '\n')
+	p.hash.Write(p.line)
+	if p.Trace != nil {
+		p.Trace(p.line)
+	}
+}
+
+func (p *Portal) emit(e Effect) { p.out = append(p.out, e) }
+
+// add takes a server into the portal.
+func (p *Portal) add(s *server) *server {
+	s.cuts, s.doors = make([]int, len(p.spec.Nodes)), make([]DoorState, len(p.spec.Nodes))
+	for i := range s.doors {
+		s.doors[i] = Shut
+	}
+	p.slots = max(p.slots, s.slot+1)
+	p.servers = append(p.servers, s)
+	p.bySlot[s.slot] = s
+	p.note("server", s.id, s.zone, strconv.Itoa(s.slot))
+	p.settle(s)
+	return s
+}
+
+func (p *Portal) newBoxServer(kind *BoxKind, speed float64, zone string, cell, slot int, cold bool) *server {
+	id := fmt.Sprintf("box-%d", p.ids)
+	p.ids++
+	s := &server{id: id, zone: zone, cell: cell, slot: slot, kind: kind,
+		box: newBox(kind, speed, p.now, cold, Stream(p.spec.Seed, "box/"+id))}
+	if cold {
+		s.started = max(p.now, 1)
+	}
+	return p.add(s)
+}
+
+// entry is what the roster would say of a server now.
+func (p *Portal) entry(s *server) Entry {
+	e := Entry{ID: s.id, Zone: s.zone, Cell: s.cell, Slot: s.slot, Started: s.started, Origin: s.origin != nil, Kind: OriginID}
+	if s.kind != nil {
+		e.Kind = s.kind.Name
+	}
+	switch {
+	case s.gone || s.dead:
+		e.State = Removed
+	case s.leaving || s.draining > 0:
+		e.State = Draining
+	}
+	return e
+}
+
+// publish lets the roster learn what is so now, in its own time, and in the order of the changes of a server.
+func (p *Portal) publish(s *server) {
+	e := p.entry(s)
+	p.note("state", e.ID, e.State.String())
+	at := max(s.published, p.now+span(p.lags, p.spec.Roster.LagLeast, p.spec.Roster.LagMost)+p.roster.lag)
+	s.published = at
+	p.at(at, func() {
+		p.roster.set(e)
+		p.note("listed", e.ID, e.State.String())
+		p.tellWatches()
+	})
+}
+
+// settle brings a server's process, doors and speed in line with the faults that are on.
+func (p *Portal) settle(s *server) {
+	if s.box != nil {
+		s.box.advance(p.now)
+	}
+	if dead := s.gone || s.kills > 0; dead != s.dead {
+		s.dead = dead
+		if dead {
+			p.note("died", s.id)
+			p.resetAll(s, func(*conn) bool { return true })
+			s.held = nil
+			if s.box != nil {
+				s.box.restart(p.now, true)
+			}
+		} else {
+			p.note("started", s.id)
+			s.box.restart(p.now, true)
+			s.started = max(p.now, 1)
+		}
+		p.publish(s)
+	}
+	if s.box != nil {
+		s.box.factor = 1
+		for _, f := range s.slow {
+			s.box.factor *= f
+		}
+		if s.frozen > 0 || s.stalled > 0 {
+			s.box.factor = 0
+		}
+	}
+	for n := range s.doors {
+		state := Open
+		switch {
+		case s.dead:
+			state = Shut
+		case s.cuts[n] > 0:
+			state = Silent
+		}
+		if was := s.doors[n]; state != was {
+			s.doors[n] = state
+			if was == Silent { // what was open meanwhile is reset now that the machine is back
+				p.resetAll(s, func(c *conn) bool { return c.node == n })
+			}
+			if p.bySlot[s.slot] == s {
+				p.emit(Door{Slot: s.slot, Node: n, State: state})
+			}
+		}
+	}
+	if s.frozen == 0 && len(s.held) > 0 {
+		held := s.held
+		s.held = nil
+		for _, f := range held {
+			f()
+		}
+	}
+	p.serve(s)
+}
+
+// resetAll ends connections of a server, in the order of their ids.
+func (p *Portal) resetAll(s *server, which func(*conn) bool) {
+	for _, id := range slices.Clone(s.open) {
+		if c := p.conns[id]; which(c) {
+			p.emit(Reset{id})
+			p.drop(c)
+		}
+	}
+}
+
+func (p *Portal) drop(c *conn) {
+	delete(p.conns, c.id)
+	if at, ok := slices.BinarySearch(c.server.open, c.id); ok {
+		c.server.open = slices.Delete(c.server.open, at, at+1)
+	}
+	if s := c.server; s.box != nil {
+		s.box.advance(p.now)
+		s.box.closed(c.id)
+		p.serve(s)
+	} else {
+		s.origin.closed(c.id)
+	}
+}
+
+// retire drains a box, ends its process after a while, and then goes on.
+func (p *Portal) retire(s *server, after time.Duration, then func()) {
+	if s.gone || s.leaving {
+		return
+	}
+	s.leaving = true
+	p.publish(s)
+	p.at(p.now+after, func() {
+		s.gone = true
+		p.settle(s)
+		if s.dead { // it may have been dead before
+			p.publish(s)
+		}
+		then()
+		p.servers = slices.DeleteFunc(p.servers, func(o *server) bool { return o == s })
+	})
+}
+
+// succeed starts a cold box in the place of one that has gone.
+func (p *Portal) succeed(old *server, sameSlot bool) {
+	slot := p.slots
+	if sameSlot {
+		slot = old.slot
+	}
+	s := p.newBoxServer(old.kind, old.box.speed, old.zone, old.cell, slot, true)
+	p.publish(s)
+}
+
+func (p *Portal) connect(e Connect) {
+	s := p.bySlot[e.Slot]
+	p.note("connect", strconv.Itoa(e.Slot), strconv.Itoa(e.Node), strconv.FormatUint(uint64(e.Conn), 10))
+	if s == nil || s.dead || s.kind != nil && s.kind.Conns > 0 && len(s.open) >= s.kind.Conns {
+		p.emit(Reset{e.Conn})
+		return
+	}
+	same := s.zone == p.spec.Nodes[e.Node].Zone
+	c := &conn{id: e.Conn, server: s, node: e.Node, in: newLink(&p.spec.Link, p.links, same),
+		out: newLink(&p.spec.Link, p.links, same)}
+	p.conns[e.Conn] = c
+	at, _ := slices.BinarySearch(s.open, e.Conn)
+	s.open = slices.Insert(s.open, at, e.Conn)
+	if s.box != nil && s.kind.ConnWork > 0 {
+		p.load(s, &Request{Conn: e.Conn, Work: s.kind.ConnWork, Until: Never})
+	}
+}
+
+// load gives a box work that nobody waits for.
+func (p *Portal) load(s *server, q *Request) {
+	s.box.advance(p.now)
+	if r, taken := s.box.arrive(p.now, q, true); taken {
+		r.dropped = true
+		p.serve(s)
+	}
+}
+
+func (p *Portal) closed(id ConnID) {
+	if c := p.conns[id]; c != nil {
+		p.note("close", strconv.FormatUint(uint64(id), 10))
+		p.drop(c)
+	}
+}
+
+// deliver takes a message over a connection's way in and does it there, unless the way is cut or the connection has
+// ended; a server that is frozen does it later.
+func (p *Portal) deliver(c *conn, do func()) {
+	s := c.server
+	if s.cuts[c.node] > 0 {
+		c.cut = true
+	}
+	if c.cut {
+		return
+	}
+	p.at(c.in.arrival(p.now, &p.spec.Link, 0, together(s.lossy)), func() {
+		p.here(s, func() {
+			if p.conns[c.id] == c {
+				do()
+			}
+		})
+	})
+}
+
+func (p *Portal) here(s *server, do func()) {
+	if s.frozen > 0 {
+		s.held = append(s.held, do)
+		return
+	}
+	do()
+}
+
+// answer takes an answer over the way back.
+func (p *Portal) answer(s *server, a Answer) {
+	p.note("answer", s.id, a.Request, a.Outcome.String())
+	c := p.conns[a.Conn]
+	if c == nil {
+		return
+	}
+	if s.cuts[c.node] > 0 {
+		c.cut = true
+	}
+	if c.cut {
+		return
+	}
+	if q := together(s.spoilt); q > 0 && p.spoil.Float64() < q {
+		a.Spoilt = SpoiltKind(1 + p.spoil.IntN(int(numberOfSpoilt)-1))
+	}
+	a.Server = s.id
+	p.at(c.out.arrival(p.now, &p.spec.Link, 0, together(s.lossy)), func() {
+		if p.conns[c.id] == c && !c.cut && s.cuts[c.node] == 0 {
+			p.emit(a)
+		}
+	})
+}
+
+func (p *Portal) arrive(e Arrive) {
+	c := p.conns[e.Conn]
+	p.note("arrive", e.ID, e.Class, e.Key, strconv.FormatUint(uint64(e.Conn), 10))
+	if c == nil {
+		return
+	}
+	q := e.Request
+	q.Work = p.workOf(q.Class, q.ID)
+	p.deliver(c, func() {
+		if c.server.origin != nil {
+			p.fetch(c.server, &q)
+		} else {
+			p.lookUp(c.server, &q)
+		}
+	})
+}
+
+// workOf is the work of a request: the same for each of its attempts, and drawn by its id.
+func (p *Portal) workOf(class, id string) time.Duration {
+	w := p.work[class]
+	u := float64(xxhash.Sum64String(strconv.FormatUint(p.spec.Seed, 16)+id)>>11) / (1 << 53)
+	return w.WorkLeast + time.Duration(u*float64(w.WorkMost-w.WorkLeast))
+}
+
+func (p *Portal) probe(e Probe) {
+	c := p.conns[e.Conn]
+	p.note("probe", strconv.FormatUint(uint64(e.Conn), 10))
+	if c == nil {
+		return
+	}
+	p.deliver(c, func() {
+		s := c.server
+		if s.origin != nil {
+			if !s.origin.still(p.now) {
+				p.answer(s, Answer{Conn: e.Conn, Seq: e.Seq, Outcome: Pong, Loaded: e.Load,
+					Load: Load{Inflight: s.origin.working + len(s.origin.waiting)}})
+			}
+			return
+		}
+		s.box.advance(p.now)
+		q := &Request{Conn: e.Conn, Seq: e.Seq, Work: s.kind.ProbeWork, Until: Never}
+		r, taken := s.box.arrive(p.now, q, true)
+		if !taken {
+			p.answer(s, Answer{Conn: e.Conn, Seq: e.Seq, Outcome: Turned})
+			return
+		}
+		r.load = e.Load
+		p.serve(s)
+	})
+}
+
+// lookUp is a request at a box.
+func (p *Portal) lookUp(s *server, q *Request) {
+	if s.draining > 0 || s.leaving {
+		p.answer(s, Answer{Conn: q.Conn, Seq: q.Seq, Request: q.ID, Outcome: Turned})
+		return
+	}
+	b := s.box
+	b.advance(p.now)
+	r, taken := b.arrive(p.now, q, false)
+	if b.overloaded(p.now, r.work) {
+		b.fallen = true
+		p.note("fell", s.id)
+		p.emit(Fell{s.id})
+		s.kills++
+		p.settle(s)
+		return
+	}
+	if !taken {
+		p.answer(s, Answer{Conn: q.Conn, Seq: q.Seq, Request: q.ID, Outcome: Turned, Load: b.load()})
+		return
+	}
+	p.serve(s)
+}
+
+// serve lets a box go on and books when it wants to be looked at again.
+func (p *Portal) serve(s *server) {
+	b := s.box
+	if b == nil {
+		return
+	}
+	if s.dead {
+		s.timer++
+		return
+	}
+	for {
+		done := b.finish(p.now)
+		waiting := len(b.waiting)
+		turned := b.fill(p.now)
+		for _, r := range append(done, turned...) {
+			p.done(s, r)
+		}
+		if len(done) == 0 && len(turned) == 0 || waiting == 0 {
+			break
+		}
+	}
+	s.timer++
+	number := s.timer
+	if at := b.wake(); at != Never {
+		p.at(at, func() {
+			if s.timer == number {
+				b.advance(p.now)
+				p.serve(s)
+			}
+		})
+	}
+}
+
+// done is the end of a request at a box.
+func (p *Portal) done(s *server, r *run) {
+	if r.dropped {
+		return
+	}
+	a := Answer{Conn: r.Conn, Seq: r.Seq, Request: r.ID, Outcome: r.outcome, Load: s.box.load()}
+	switch r.outcome {
+	case Pong:
+		a.Loaded = r.load
+	case Hit, Failed:
+		p.note("ran", s.id, r.ID)
+		p.emit(Ran{Request: r.ID, Server: s.id, Class: r.Class, Seq: r.Seq})
+		a.Copy = r.copied
+	case Miss:
+		p.miss(r.ID, s)
+	}
+	p.answer(s, a)
+}
+
+// missedFor is how long a miss is remembered: longer than any request may take.
+const missedFor = 30 * time.Second
+
+// miss remembers where a request missed, as its value is stored there once the origin has answered.
+func (p *Portal) miss(id string, s *server) {
+	for len(p.misses) > 0 && p.now-p.misses[0].at > missedFor {
+		if old := p.misses[0]; p.missed[old.id] == old {
+			delete(p.missed, old.id)
+		}
+		p.misses = p.misses[1:]
+	}
+	m := p.missed[id]
+	if m == nil {
+		m = &misses{id: id, at: p.now}
+		p.missed[id] = m
+		p.misses = append(p.misses, m)
+	}
+	m.boxes = append(m.boxes, s)
+}
+
+// fetch is a request at the origin.
+func (p *Portal) fetch(s *server, q *Request) {
+	o := s.origin
+	switch {
+	case o.still(p.now):
+		p.answer(s, Answer{Conn: q.Conn, Seq: q.Seq, Request: q.ID, Outcome: Turned})
+	case o.fall(p.now):
+		p.note("origin-fell")
+		o.until = p.now + o.spec.FallFor
+		o.bucket = o.rate() * o.spec.FallMultiple * o.spec.FallAfter.Seconds()
+		p.at(o.until, p.originWake)
+		p.answer(s, Answer{Conn: q.Conn, Seq: q.Seq, Request: q.ID, Outcome: Turned})
+	case o.working < o.spec.Parallel:
+		p.originWork(&originRun{Request: q, arrived: p.now})
+	case len(o.waiting) < o.spec.Queue:
+		o.waiting = append(o.waiting, &originRun{Request: q, arrived: p.now})
+	default:
+		p.answer(s, Answer{Conn: q.Conn, Seq: q.Seq, Request: q.ID, Outcome: Turned})
+	}
+}
+
+// originWake goes on with what waits, once the origin no longer stands still.
+func (p *Portal) originWake() {
+	o := p.origin.origin
+	for !o.still(p.now) && o.working < o.spec.Parallel && len(o.waiting) > 0 {
+		r := o.waiting[0]
+		o.waiting[0] = nil
+		o.waiting = o.waiting[1:]
+		p.originWork(r)
+	}
+}
+
+// originWork serves one request. A write counts from its end; what the origin does while it stands still is not
+// answered until it no longer does.
+func (p *Portal) originWork(r *originRun) {
+	o := p.origin.origin
+	o.working++
+	p.note("ran", OriginID, r.ID)
+	p.emit(Ran{Request: r.ID, Server: OriginID, Class: r.Class, Seq: r.Seq})
+	p.at(p.now+o.service(), func() { p.here(p.origin, func() { p.fetched(r) }) })
+}
+
+func (p *Portal) fetched(r *originRun) {
+	s, o := p.origin, p.origin.origin
+	if o.still(p.now) { // it ends when the origin is back
+		wait := max(o.until-p.now, 50*time.Millisecond)
+		p.at(p.now+wait, func() { p.fetched(r) })
+		return
+	}
+	o.working--
+	a := Answer{Conn: r.Conn, Seq: r.Seq, Request: r.ID, Outcome: Hit, Copy: o.record(r.Key),
+		Load: Load{Inflight: o.working + len(o.waiting)}}
+	if r.Write {
+		a.Outcome = Written
+		if !o.repeated(p.now, r.Once) {
+			v := o.record(r.Key)
+			v.Version++
+			v.Size = r.Size
+			o.records[r.Key] = v
+			for _, b := range p.servers {
+				if b.box != nil {
+					b.box.memory.drop(r.Key)
+				}
+			}
+		}
+		a.Copy = Copy{Key: r.Key, Version: o.record(r.Key).Version}
+	} else if m := p.missed[r.ID]; m != nil {
+		delete(p.missed, r.ID)
+		for _, b := range m.boxes {
+			if !b.dead {
+				b.box.memory.put(a.Copy)
+			}
+		}
+	}
+	p.answer(s, a)
+	p.originWake()
+}
+
+func (p *Portal) ask(e Ask) {
+	p.note("ask", strconv.Itoa(e.Node), strconv.FormatBool(e.Watch), strconv.FormatInt(e.After, 10))
+	r := p.roster
+	if r.down > 0 {
+		p.emit(Told{Call: e.Call, Ends: true, Failed: true})
+		return
+	}
+	lines := len(r.entries)
+	if e.Watch {
+		lines = len(r.since(e.After).Entries)
+	}
+	at, ok := r.admit(p.now, lines)
+	r.watches = append(r.watches, watch{call: e.Call, after: -1})
+	p.at(at, func() { p.askDone(e, ok) })
+}
+
+// askDone answers a call when those before it are done, unless it was hung up or discovery went down.
+func (p *Portal) askDone(e Ask, ok bool) {
+	r := p.roster
+	i := slices.IndexFunc(r.watches, func(w watch) bool { return w.call == e.Call })
+	if i < 0 {
+		return
+	}
+	if !ok || !e.Watch {
+		r.watches = slices.Delete(r.watches, i, i+1)
+	}
+	switch {
+	case !ok:
+		p.emit(Told{Call: e.Call, Ends: true, Failed: true})
+	case e.Watch:
+		list := r.since(e.After)
+		r.watches[i].after = r.version
+		p.emit(Told{Call: e.Call, List: &list})
+		p.beat(e.Call)
+	default:
+		list := r.whole()
+		p.emit(Told{Call: e.Call, List: &list, Ends: true})
+	}
+}
+
+func (p *Portal) beat(call uint64) {
+	if p.spec.Roster.Beat <= 0 {
+		return
+	}
+	p.at(p.now+p.spec.Roster.Beat, func() {
+		if slices.ContainsFunc(p.roster.watches, func(w watch) bool { return w.call == call }) {
+			p.emit(Told{Call: call})
+			p.beat(call)
+		}
+	})
+}
+
+// tellWatches writes to every watch what it has not been told yet.
+func (p *Portal) tellWatches() {
+	r := p.roster
+	for i, w := range r.watches {
+		if w.after >= 0 && w.after != r.version {
+			list := r.since(w.after)
+			r.watches[i].after = r.version
+			p.emit(Told{Call: w.call, List: &list})
+		}
+	}
+}
+
+func (p *Portal) hangUp(call uint64) {
+	p.roster.watches = slices.DeleteFunc(p.roster.watches, func(w watch) bool { return w.call == call })
+}
+
+func (p *Portal) rosterDown(sign int) {
+	r := p.roster
+	r.down += sign
+	if r.down > 0 {
+		for _, w := range r.watches {
+			p.emit(Told{Call: w.call, Ends: true, Failed: true})
+		}
+		r.watches = nil
+	}
+}
+
+// rosterEmpty makes the list one of nothing, and whole again at the end.
+func (p *Portal) rosterEmpty(sign int) {
+	r := p.roster
+	r.hidden += sign
+	r.version++
+	r.changes = nil // so that everybody gets the whole list
+	p.tellWatches()
+}
+
+// timers is a heap of what is due; of equals the one booked first goes first.
+type timers []*timer
+
+type timer struct {
+	at     Time
+	number uint64
+	run    func()
+}
+
+func (p *Portal) at(t Time, run func()) {
+	p.nextDue++
+	heap.Push(&p.due, &timer{max(t, p.now), p.nextDue, run})
+}
+
+func (h timers) Len() int { return len(h) }
+func (h timers) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].number < h[j].number
+}
+func (h timers) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timers) Push(x any)   { *h = append(*h, x.(*timer)) }
+func (h *timers) Pop() any {
+	end := len(*h) - 1
+	t := (*h)[end]
+	(*h)[end] = nil
+	*h = (*h)[:end]
+	return t
+}
