Read scenarios from TOML files and draw a plan of them by seed

Need: what the lab plays must be stated in files that name their mistakes, with figures drawn anew by each seed.

Change: internal/lab/scenario reads a file that states only what differs from a calm portal. A figure may be a range; Draw makes of a scenario and a seed the specification of the model, each part from a stream of its own, so that adding a fault does not move the boxes. Unknown fields, values out of bounds and faults that lack what they need end with file, line and field.

--- /dev/null
+++ b/internal/lab/scenario/plan.go
@@ -0,0 +1,167 @@
+package scenario
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"shelfproxy/internal/lab/model"
+)
+
+// Plan is a scenario of which a seed has drawn every figure.
+type Plan struct {
+	Name   string
+	Seed   uint64
+	Length time.Duration
+	Spec   model.Spec
+	Nodes  Nodes
+	Rules  Rules
+	Class  []Class
+	Zones  []string
+	Shares []float64 // of the load, by node
+	Keys   int
+	Skew   float64
+	Rate   float64
+	Conns  int
+}
+
+// Draw draws the figures. Each part has a stream of its own, so adding a fault does not move the boxes.
+func (s *Scenario) Draw(seed uint64) *Plan {
+	stream := func(part string) *rand.Rand { return model.Stream(seed, "scenario/"+part) }
+	p := &Plan{Name: s.Name, Seed: seed, Length: s.Length.D(), Nodes: s.Nodes, Rules: s.Rules, Class: s.Class, Zones: s.Zones.Names,
+		Conns: s.Load.Connections}
+	r := stream("load")
+	p.Rate, p.Keys, p.Skew = s.Load.Rate.Draw(r), s.Keys.Count.Int(r), s.Keys.Skew.Draw(r)
+
+	p.Spec = model.Spec{Seed: seed, OriginZone: s.Origin.Zone,
+		Roster: model.RosterSpec{LagLeast: s.Roster.Lag.Least, LagMost: s.Roster.Lag.Most, Call: s.Roster.Call.D(),
+			Line: s.Roster.Line.D(), Timeout: s.Roster.Timeout.D(), Beat: s.Roster.Beat.D()},
+		Link: model.LinkSpec{SameLeast: s.Link.Same.Least, SameMost: s.Link.Same.Most, CrossLeast: s.Link.Cross.Least,
+			CrossMost: s.Link.Cross.Most, Loss: s.Link.Loss.Draw(stream("link")), Retransmit: s.Link.Retransmit.D()}}
+	if p.Spec.OriginZone == "" {
+		p.Spec.OriginZone = s.Zones.Names[0]
+	}
+	o := stream("origin")
+	p.Spec.Origin = model.OriginSpec{Median: s.Origin.Median.Draw(o), Sigma: s.Origin.Sigma.Draw(o),
+		Parallel: s.Origin.Parallel.Int(o), Queue: s.Origin.Queue.Int(o), FallMultiple: s.Origin.FallMultiple.Draw(o),
+		FallAfter: s.Origin.FallAfter.Draw(o), FallFor: s.Origin.FallFor.Draw(o), ValueSize: s.Origin.ValueBytes,
+		Cut: s.Origin.Cancel}
+	for _, c := range s.Class {
+		p.Spec.Classes = append(p.Spec.Classes, model.ClassSpec{Name: c.Name, WorkLeast: c.Work.Least, WorkMost: c.Work.Most})
+		p.Spec.Origin.Window = max(p.Spec.Origin.Window, c.Window.D())
+	}
+
+	// Nodes go to the zones in turn; a zone's traffic is divided among its nodes, and that of a zone without one
+	// among all.
+	n := s.Nodes.Count.Int(stream("nodes"))
+	in := map[string]int{}
+	for i := range n {
+		zone := s.Zones.Names[i%len(s.Zones.Names)]
+		p.Spec.Nodes = append(p.Spec.Nodes, model.NodeSpec{Name: fmt.Sprintf("n%d", i), Zone: zone})
+		in[zone]++
+	}
+	p.Shares = make([]float64, n)
+	for z, zone := range s.Zones.Names {
+		share := 1 / float64(len(s.Zones.Names))
+		if len(s.Zones.Traffic) > 0 {
+			share = s.Zones.Traffic[z] / sum(s.Zones.Traffic)
+		}
+		for i, node := range p.Spec.Nodes {
+			if in[zone] == 0 {
+				p.Shares[i] += share / float64(n)
+			} else if node.Zone == zone {
+				p.Shares[i] += share / float64(in[zone])
+			}
+		}
+	}
+	s.drawBoxes(p, stream)
+	for i, f := range s.Fault {
+		p.Spec.Faults = append(p.Spec.Faults, f.draw(stream(fmt.Sprintf("fault/%d", i))))
+	}
+	return p
+}
+
+// drawBoxes draws the kinds, then the boxes: as many of each kind and in each zone as their shares say.
+func (s *Scenario) drawBoxes(p *Plan, stream func(string) *rand.Rand) {
+	kinds := make([]*model.BoxKind, len(s.Kind))
+	shares := make([]float64, len(s.Kind))
+	for i, k := range s.Kind {
+		r := stream("kind/" + k.Name)
+		shares[i] = k.Share
+		kinds[i] = &model.BoxKind{Name: k.Name, Cores: k.Cores, Slots: int(k.SlotsPerCore.Draw(r) * float64(k.Cores)),
+			Queue: int(k.QueuePerCore.Draw(r) * float64(k.Cores)), ColdFrom: k.ColdFrom.Draw(r), WarmAfter: k.WarmAfter.Draw(r),
+			Memory: int64(k.MemoryMB.Draw(r) * (1 << 20)), FIFO: k.Eviction == "fifo", Conns: k.Connections.Int(r),
+			ConnWork: k.ConnectionWork.Draw(r), ProbeWork: k.ProbeWork.Draw(r), MissWork: k.MissWork.Draw(r),
+			ChokeAt: k.ChokeAt.Draw(r), Choke: k.Choke.Draw(r), Cancel: cancels[k.Cancel], DropExpired: k.DropExpired,
+			ErrorRate: k.ErrorRate.Draw(r), FallFactor: s.Rules.FallFactor, FallAfter: s.Rules.FallAfter.D()}
+	}
+	r := stream("boxes")
+	n := s.Boxes.Count.Int(r)
+	size := s.Boxes.CellSize.Int(r)
+	zones := s.Zones.Boxes
+	if len(zones) == 0 {
+		zones = slices.Repeat([]float64{1}, len(s.Zones.Names))
+	}
+	byKind, byZone := apportion(n, shares), apportion(n, zones)
+	r.Shuffle(n, func(i, j int) { byKind[i], byKind[j] = byKind[j], byKind[i] })
+	for i := range n {
+		k := byKind[i]
+		p.Spec.Boxes = append(p.Spec.Boxes, model.BoxSpec{Kind: kinds[k], Zone: s.Zones.Names[byZone[i]], Cell: i / size,
+			Speed: s.Kind[k].Speed.Draw(r)})
+	}
+}
+
+// apportion gives each of n places to one of the shares, as near to them as whole numbers come (largest remainder).
+func apportion(n int, shares []float64) []int {
+	total := sum(shares)
+	type part struct {
+		index, whole int
+		rest         float64
+	}
+	parts := make([]part, len(shares))
+	left := n
+	for i, s := range shares {
+		exact := float64(n) * s / total
+		if total <= 0 {
+			exact = float64(n) / float64(len(shares))
+		}
+		parts[i] = part{i, int(exact), exact - math.Floor(exact)}
+		left -= parts[i].whole
+	}
+	order := slices.Clone(parts)
+	slices.SortStableFunc(order, func(a, b part) int {
+		switch {
+		case a.rest > b.rest:
+			return -1
+		case a.rest < b.rest:
+			return 1
+		}
+		return 0
+	})
+	for i := range left {
+		parts[order[i%len(order)].index].whole++
+	}
+	var out []int
+	for _, p := range parts {
+		out = append(out, slices.Repeat([]int{p.index}, p.whole)...)
+	}
+	return out
+}
+
+func sum(v []float64) (t float64) {
+	for _, x := range v {
+		t += x
+	}
+	return t
+}
+
+func (f Fault) draw(r *rand.Rand) model.Fault {
+	out := model.Fault{Kind: model.FaultKind(slices.Index(model.FaultKinds[:], f.Kind)), At: f.At.Draw(r), For: f.For.Draw(r),
+		Select: model.Selector{IDs: f.Boxes, Kind: f.Of, Zone: f.Zone, Count: f.Count.Int(r), Share: f.Share.Draw(r)},
+		Nodes:  f.Nodes, Factor: f.Factor.Draw(r), Batch: f.Batch.Draw(r), DrainFor: f.DrainFor.D(), SameSlot: f.SameAddr.Draw(r),
+		Period: f.Period.D(), Lag: f.Lag.Draw(r)}
+	out.Share = max(f.Answers.Draw(r), f.Messages.Draw(r))
+	return out
+}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -4,6 +4,7 @@
 package tomlfile
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -59,7 +60,7 @@
 func Parse(path string, text []byte, v any) (*File, error) {
 	f := &File{Path: path, lines: map[string]int{}}
 	f.index(text)
-	dec := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
+	dec := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields().EnableUnmarshalerInterface()
 	err := dec.Decode(v)
 	var unknown *toml.StrictMissingError
 	var bad *toml.DecodeError
@@ -77,9 +78,33 @@
 			field = f.at(line)
 		}
 		return nil, &Error{Path: path, Line: line, Field: field, Text: strings.TrimPrefix(bad.Error(), "toml: ")}
-	default:
-		return nil, &Error{Path: path, Text: strings.TrimPrefix(err.Error(), "toml: ")}
 	}
+	e := &Error{Path: path, Text: strings.TrimPrefix(err.Error(), "toml: ")}
+	var value *ValueError
+	if errors.As(err, &value) {
+		e.Line, e.Text = lineOf(text, value.Raw), value.Text
+		e.Field = f.at(e.Line)
+	}
+	return nil, e
+}
+
+// ValueError is what an UnmarshalTOML returns for a value that it can't use; Parse finds its place.
+type ValueError struct {
+	Raw  []byte // as the file has it
+	Text string
+}
+
+func (e *ValueError) Error() string { return e.Text }
+
+// lineOf is the first line that gives a field this value. The library tells UnmarshalTOML the bytes but not where
+// they are; another field with the same bytes before it would be named in its stead.
+func lineOf(text, raw []byte) int {
+	for i, line := range bytes.Split(text, []byte{'\n'}) {
+		if _, value, ok := bytes.Cut(line, []byte{'='}); ok && bytes.HasPrefix(bytes.TrimSpace(value), raw) {
+			return i + 1
+		}
+	}
+	return 0
 }
 
 // Line is the line of a field, or of the nearest table around it that the file has; 0 without either.
@@ -111,10 +136,10 @@
 	return e
 }
 
-// at is the field that a line sets, for errors that do not name it.
+// at is the field that a line sets, for errors that do not name it: not a part of it.
 func (f *File) at(line int) (field string) {
 	for name, n := range f.lines {
-		if n == line && len(name) > len(field) {
+		if n == line && (field == "" || len(name) < len(field)) {
 			field = name
 		}
 	}
