--- /dev/null
+++ b/cmd/shelflab/main.go
@@ -0,0 +1,159 @@
+// Command shelflab plays the portal that nodes serve: cache boxes, the origin, discovery, the network between them
+// and what goes wrong, all on loopback. See docs/lab.md.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"shelfproxy/internal/lab/emulate"
+	"shelfproxy/internal/lab/scenario"
+	"shelfproxy/lab/scenarios"
+)
+
+// Exit codes, for scripts.
+const (
+	exitFailed      = 1   // the run could not be carried out
+	exitScenario    = 2   // the scenario is no good
+	exitRules       = 3   // the run was carried out and a rule was broken
+	exitPort        = 4   // a port that was asked for is taken
+	exitUsage       = 64  // the command line is no good
+	exitInterrupted = 130 // ended by Ctrl-C, everything stopped
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := command().ExecuteContext(ctx)
+	if err == nil {
+		return
+	}
+	code := exitUsage
+	var coded *codedError
+	if errors.As(err, &coded) {
+		code = coded.code
+	}
+	var port *emulate.PortTakenError
+	switch {
+	case errors.As(err, &port):
+		code = exitPort
+	case errors.Is(err, context.Canceled):
+		code = exitInterrupted
+	}
+	if code != exitInterrupted {
+		fmt.Fprintln(os.Stderr, "shelflab:", err)
+	}
+	os.Exit(code)
+}
+
+// codedError is an error with the code that the program ends with.
+type codedError struct {
+	error
+	code int
+}
+
+func (e *codedError) Unwrap() error { return e.error }
+
+func coded(code int, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &codedError{err, code}
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "shelflab",
+		Short: "An emulated portal for shelfproxy, on loopback",
+		Long: "shelflab plays the portal that shelfproxy nodes serve: cache boxes, the origin, discovery, the network\n" +
+			"between them and what goes wrong, all on loopback and checked against the rules of the service.\n" +
+			"Scenarios are files, or names of those that are shipped: " + strings.Join(scenarios.Names(), ", ") + ".\n\n" +
+			"Exit codes: 0 all well, 1 the run failed, 2 the scenario is no good, 3 a rule was broken,\n" +
+			"4 a port is taken, 64 the command line is no good, 130 interrupted.",
+		Example: "  shelflab demo\n  shelflab demo rush --seed 7\n  shelflab check my.toml\n" +
+			"  shelflab emulate deploy --dir run --base-port 7000",
+		Version: version(), SilenceUsage: true, SilenceErrors: true,
+	}
+	root.AddCommand(demoCommand(), emulateCommand(), checkCommand(), listCommand())
+	return root
+}
+
+// load reads a scenario by the name of one that is shipped, or from a file.
+func load(name string) (*scenario.Scenario, error) {
+	if text, ok := scenarios.Text(name); ok {
+		s, err := scenario.Parse(name+".toml", text)
+		return s, coded(exitScenario, err)
+	}
+	s, err := scenario.Read(name)
+	if errors.Is(err, os.ErrNotExist) && !strings.ContainsAny(name, "/.") {
+		err = fmt.Errorf("there is no scenario %q; shipped are %s", name, strings.Join(scenarios.Names(), ", "))
+	}
+	return s, coded(exitScenario, err)
+}
+
+// names completes the names of shipped scenarios; files are left to the shell.
+func names(_ *cobra.Command, args []string, _ string) ([]string, cobra.ShellCompDirective) {
+	if len(args) > 0 {
+		return nil, cobra.ShellCompDirectiveNoFileComp
+	}
+	return scenarios.Names(), cobra.ShellCompDirectiveDefault
+}
+
+func listCommand() *cobra.Command {
+	return &cobra.Command{Use: "list", Short: "List the scenarios that are shipped", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			for _, n := range scenarios.Names() {
+				s, err := load(n)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%-10s %s\n", n, s.About)
+			}
+			return nil
+		}}
+}
+
+func checkCommand() *cobra.Command {
+	var seed uint64
+	cmd := &cobra.Command{Use: "check SCENARIO...", Short: "Read scenarios and say what a seed draws of them",
+		Example: "  shelflab check my.toml\n  shelflab check rush --seed 7", Args: cobra.MinimumNArgs(1), ValidArgsFunction: names,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			for _, a := range args {
+				s, err := load(a)
+				if err != nil {
+					return err
+				}
+				p := s.Draw(seed)
+				w := cmd.OutOrStdout()
+				fmt.Fprintf(w, "%s is good: %s\nseed %d draws %d nodes, %d boxes, %.0f requests a second for %s\n", a, s.About, seed,
+					len(p.Spec.Nodes), len(p.Spec.Boxes), p.Rate, p.Length)
+				for _, f := range p.Spec.Faults {
+					fmt.Fprintf(w, "  %6.1f s  %s for %.1f s\n", f.At.Seconds(), f.Kind, f.For.Seconds())
+				}
+			}
+			return nil
+		}}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "draws the figures that are ranges")
+	return cmd
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value[:min(12, len(s.Value))] + " " + info.GoVersion
+		}
+	}
+	return "devel " + info.GoVersion
+}
--- /dev/null
+++ b/internal/lab/demo/show.go
@@ -0,0 +1,149 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/olekukonko/tablewriter"
+
+	"shelfproxy/internal/lab/clients"
+	"shelfproxy/internal/lab/emulate"
+	"shelfproxy/internal/lab/model"
+	"shelfproxy/internal/lab/rules"
+)
+
+const syscallTerm = syscall.SIGTERM
+
+// watch shows the run while it goes on: a table in place on a terminal, else a line now and then.
+func watch(opt Options, em *emulate.Emulator, load *clients.Load, done <-chan struct{}) {
+	tick := time.NewTicker(opt.Every)
+	defer tick.Stop()
+	drawn := 0
+	for {
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+		}
+		var now time.Duration
+		var servers []model.ServerState
+		var broken int
+		if !em.Do(func(t time.Duration, p *model.Portal, c *rules.Checker) {
+			now, servers, broken = t, p.Servers(), len(c.Broken())
+		}) {
+			return
+		}
+		classes, _ := load.Classes()
+		line := headline(now, opt.Plan.Length, classes, servers, broken)
+		if !opt.Live {
+			fmt.Fprintln(opt.Out, line)
+			continue
+		}
+		var b strings.Builder
+		if drawn > 0 {
+			fmt.Fprintf(&b, "\x1b[%dA\x1b[J", drawn)
+		}
+		text := line + "\n" + serverTable(servers)
+		b.WriteString(text)
+		drawn = strings.Count(text, "\n")
+		io.WriteString(opt.Out, b.String())
+	}
+}
+
+func headline(now, length time.Duration, classes []clients.Class, servers []model.ServerState, broken int) string {
+	var sum clients.Class
+	for _, c := range classes {
+		sum.Due += c.Due
+		sum.Served += c.Served
+		sum.Refused += c.Refused
+		sum.Failed += c.Failed + c.Lost + c.Unsent
+	}
+	up, draining, down := 0, 0, 0
+	origin := ""
+	for _, s := range servers {
+		switch {
+		case s.ID == model.OriginID:
+			origin = fmt.Sprintf("origin %d in work, %d waiting", s.Running, s.Waiting)
+		case s.Dead || s.Silent:
+			down++
+		case s.State == model.Draining:
+			draining++
+		default:
+			up++
+		}
+	}
+	return fmt.Sprintf("%5.1f s of %.0f: %d due, %d served, %d refused, %d failed | boxes: %d up, %d draining, %d down or silent | %s | rules broken: %d",
+		now.Seconds(), length.Seconds(), sum.Due, sum.Served, sum.Refused, sum.Failed, up, draining, down, origin, broken)
+}
+
+func serverTable(servers []model.ServerState) string {
+	var b strings.Builder
+	t := tablewriter.NewWriter(&b)
+	t.Header("server", "kind", "room", "state", "warm", "in work", "waiting", "connections", "copies")
+	for _, s := range servers {
+		state := s.State.String()
+		switch {
+		case s.Dead:
+			state = "dead"
+		case s.Silent:
+			state = "silent"
+		}
+		t.Append(s.ID, s.Kind, s.Zone, state, fmt.Sprintf("%.0f%%", s.Warmth*100), s.Running, s.Waiting, s.Conns, s.Copies)
+	}
+	t.Render()
+	return b.String()
+}
+
+// Write writes the summary of a run.
+func (r *Result) Write(w io.Writer) {
+	if r.Interrupted {
+		fmt.Fprintln(w, "interrupted; this is what was seen until then")
+	}
+	fmt.Fprintf(w, "\nscenario %s, seed %d: %d nodes, %d boxes, %.0f requests a second for %s\n", r.Plan.Name, r.Plan.Seed, len(r.Plan.Spec.Nodes),
+		len(r.Plan.Spec.Boxes), r.Plan.Rate, r.Plan.Length)
+	t := tablewriter.NewWriter(w)
+	t.Header("class", "due", "served", "in aim", "refused", "failed", "lost", "p50 ms", "p90 ms", "p99 ms", "max ms")
+	for _, c := range r.Classes {
+		t.Append(c.Name, c.Due, c.Served, c.InAim, c.Refused, c.Failed, c.Lost+c.Unsent, quantile(c.Latency, 50), quantile(c.Latency, 90),
+			quantile(c.Latency, 99), quantile(c.Latency, 100))
+	}
+	t.Render()
+	taken := max(1, r.Summary.Rules.Taken)
+	t = tablewriter.NewWriter(w)
+	t.Header("node", "room", "CPU s", "memory MB", "descriptors")
+	cpu := time.Duration(0)
+	for _, n := range r.Nodes {
+		cpu += n.CPU
+		t.Append(n.Name, n.Zone, fmt.Sprintf("%.2f", n.CPU.Seconds()), fmt.Sprintf("%.1f", float64(n.Memory)/(1<<20)), n.Sockets)
+	}
+	t.Render()
+	s := r.Summary
+	fmt.Fprintf(w, "nodes: %.2f ms of processor a request, %.2f attempts a request, %d probes, %d calls of discovery\n",
+		cpu.Seconds()*1000/float64(taken), float64(s.Requests)/float64(taken), s.Probes, s.Calls)
+	fmt.Fprintf(w, "rig: sends late by p99 %s ms, max %s ms; emulator late by p99 %.1f ms, max %.1f ms; event log %016x\n",
+		quantile(r.Late, 99), quantile(r.Late, 100), s.LateP99.Seconds()*1000, s.LateMax.Seconds()*1000, s.Events)
+	for _, err := range r.Ends {
+		fmt.Fprintln(w, "broken:", err)
+	}
+	for _, v := range s.Broken {
+		fmt.Fprintln(w, v)
+	}
+	if r.Kept() {
+		fmt.Fprintf(w, "rules kept: %d requests taken and %d answered, %d attempts, %d lists told\n", s.Rules.Taken, s.Rules.Answered,
+			s.Rules.Attempts, s.Rules.Told)
+	} else {
+		fmt.Fprintf(w, "rules broken: %d\n", len(s.Broken)+len(r.Ends))
+	}
+}
+
+// quantile is in milliseconds, from a histogram in microseconds.
+func quantile(h *hdrhistogram.Histogram, q float64) string {
+	if h.TotalCount() == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", float64(h.ValueAtQuantile(q))/1000)
+}
--- /dev/null
+++ b/internal/lab/emulate/answers.go
@@ -0,0 +1,127 @@
+package emulate
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/tidwall/redcon"
+
+	"shelfproxy/internal/lab/model"
+)
+
+// Value is what servers answer for a request: it names the request that it was made for, so that a client can tell
+// it from any other, and is padded to the size of the record.
+func Value(request string, c model.Copy) []byte {
+	b := fmt.Appendf(nil, "%s|%s|v%d|", request, c.Key, c.Version)
+	if n := c.Size - len(b); n > 0 {
+		b = append(b, bytes.Repeat([]byte{'.'}, n)...)
+	}
+	return b
+}
+
+// MadeFor is the request that a value names; empty for what is no value of a server.
+func MadeFor(value []byte) string {
+	id, rest, ok := bytes.Cut(value, []byte{'|'})
+	if !ok || bytes.Count(rest, []byte{'|'}) < 2 {
+		return ""
+	}
+	return string(id)
+}
+
+// report is a load report in the form of the protocol.
+func report(l model.Load) string {
+	return fmt.Sprintf("latency_ms=%.1f,inflight=%d", l.Latency.Seconds()*1000, l.Inflight)
+}
+
+// respAnswer words an answer of a box.
+func respAnswer(id string, a model.Answer) []byte {
+	var b []byte
+	switch a.Outcome {
+	case model.Pong:
+		if a.Loaded {
+			b = redcon.AppendBulkString(b, report(a.Load))
+		} else {
+			b = redcon.AppendString(b, "PONG")
+		}
+	case model.Turned:
+		b = redcon.AppendError(b, "BUSY")
+	case model.Failed:
+		b = redcon.AppendError(b, "ERR failed")
+	case model.Miss:
+		b = redcon.AppendArray(b, 3)
+		b = redcon.AppendNull(b)
+		b = redcon.AppendBulkString(b, "miss")
+		b = redcon.AppendNull(b)
+	default:
+		b = redcon.AppendArray(b, 3)
+		b = redcon.AppendBulk(b, Value(id, a.Copy))
+		b = redcon.AppendBulkString(b, "hit")
+		b = redcon.AppendNull(b)
+	}
+	switch a.Spoilt {
+	case model.SpoiltNoise:
+		return []byte("\x00\xff\x13noise\r\n\x80\x80")
+	case model.SpoiltLine:
+		return []byte("*" + strings.Repeat("9", 200))
+	case model.SpoiltLength:
+		return []byte("*3\r\n$5\r\nlonger than it says\r\n$3\r\nhit\r\n$-1\r\n")
+	case model.SpoiltHuge:
+		return []byte("*3\r\n$3221225472\r\n")
+	case model.SpoiltTwice:
+		return append(b, b...)
+	case model.SpoiltBehind:
+		return append(b, "\x00noise"...)
+	case model.SpoiltReport:
+		if n := len(b) - len("$-1\r\n"); a.Outcome == model.Hit || a.Outcome == model.Miss {
+			return append(b[:n], "$7\r\n=,=\x00 ==\r\n"...)
+		}
+	}
+	return b
+}
+
+// httpAnswer words an answer of the origin. last says that the connection ends with it.
+func httpAnswer(id string, a model.Answer) (b []byte, last bool) {
+	load := "X-Load: " + report(a.Load) + "\r\n"
+	switch a.Outcome {
+	case model.Pong:
+		body := ""
+		if a.Loaded {
+			body = report(a.Load)
+		}
+		b = httpText("200 OK", load, body, false)
+	case model.Turned:
+		b = httpText("503 Service Unavailable", load+"X-Not-Run: 1\r\n", "", false)
+	case model.Failed:
+		b = httpText("500 Internal Server Error", load, "", false)
+	case model.Written:
+		b = httpText("200 OK", load, string(Value(id, model.Copy{Key: a.Copy.Key, Version: a.Copy.Version})), false)
+	default:
+		b = httpText("200 OK", load, string(Value(id, a.Copy)), false)
+	}
+	switch a.Spoilt {
+	case model.SpoiltNoise:
+		return []byte("\x00\xff\x13noise\r\n\r\n"), false
+	case model.SpoiltLine:
+		return []byte("HTTP/1.1 200 " + strings.Repeat("x", 200)), false
+	case model.SpoiltLength:
+		return []byte("HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nshort"), false
+	case model.SpoiltHuge:
+		return []byte("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n"), false
+	case model.SpoiltTwice:
+		return append(b, b...), false
+	case model.SpoiltBehind:
+		return append(b, "\x00noise"...), false
+	case model.SpoiltReport:
+		return bytes.Replace(b, []byte("X-Load: latency_ms="), []byte("X-Load: =,=latency"), 1), false
+	}
+	return b, false
+}
+
+func httpText(status, headers, body string, last bool) []byte {
+	if last {
+		headers += "Connection: close\r\n"
+	}
+	return []byte("HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+}
--- /dev/null
+++ b/internal/lab/emulate/discovery.go
@@ -0,0 +1,166 @@
+package emulate
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"shelfproxy/internal/lab/model"
+)
+
+// discovery is the discovery service as one node reaches it. All of them tell of one roster.
+type discovery struct {
+	e    *Emulator
+	node int
+	ln   net.Listener
+	srv  *http.Server
+}
+
+// call is a call of discovery that is open.
+type call struct {
+	node  int
+	lines chan model.Told
+}
+
+// behind is how many lines a watch may be behind before it is ended, as a node that does not read would have them
+// pile up.
+const behind = 1024
+
+func (e *Emulator) newDiscovery(node, port int) (*discovery, error) {
+	ln, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+	if err != nil {
+		if port != 0 {
+			return nil, &PortTakenError{port}
+		}
+		return nil, err
+	}
+	d := &discovery{e: e, node: node, ln: ln}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /discovery/hosts", d.hosts)
+	d.srv = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	return d, nil
+}
+
+func (d *discovery) serve() { d.srv.Serve(d.ln) }
+
+func (d *discovery) close() {
+	d.srv.Close()
+	d.ln.Close()
+}
+
+// instance is an entry in the form of the protocol.
+type instance struct {
+	ID      string  `json:"instanceId"`
+	Addr    string  `json:"hostPort"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"machineType"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"lifecycle"`
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"startedAtMs"`
+}
+
+// list is a list in the form of the protocol.
+type list struct {
+	Version   int64      `json:"generation"`
+	Whole     bool       `json:"reset"`
+	Instances []instance `json:"instances"`
+}
+
+// wire words a list as a node is told it.
+func (e *Emulator) wire(l model.List, node int) list {
+	out := list{Version: l.Version, Whole: l.Whole, Instances: []instance{}}
+	for _, s := range l.Entries {
+		in := instance{ID: s.ID, Addr: e.addr(s.Slot, node), Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, State: s.State.String(), Weight: 1}
+		if s.Started > 0 {
+			in.Started = e.start.Add(s.Started).UnixMilli()
+		}
+		out.Instances = append(out.Instances, in)
+	}
+	return out
+}
+
+func (d *discovery) hosts(w http.ResponseWriter, r *http.Request) {
+	e := d.e
+	q := r.URL.Query()
+	ask := model.Ask{Call: e.nextCall.Add(1), Node: d.node, Watch: q.Has("watch")}
+	if ask.Watch {
+		after, err := strconv.ParseInt(q.Get("after"), 10, 64)
+		if err != nil {
+			http.Error(w, "after is no version", http.StatusBadRequest)
+			return
+		}
+		ask.After = after
+	}
+	e.stats.Calls.Add(1)
+	c := &call{node: d.node, lines: make(chan model.Told, behind)}
+	if !e.post(func(now time.Duration) {
+		e.calls[ask.Call] = c
+		e.carry(now, e.portal.Step(now, ask))
+	}) {
+		return
+	}
+	defer e.post(func(now time.Duration) {
+		if e.calls[ask.Call] == c {
+			delete(e.calls, ask.Call)
+			e.carry(now, e.portal.Step(now, model.HangUp{Call: ask.Call}))
+		}
+	})
+	begun := false
+	for {
+		select {
+		case t, ok := <-c.lines:
+			switch {
+			case !ok || t.Failed && begun:
+				panic(http.ErrAbortHandler) // a reset
+			case t.Failed:
+				http.Error(w, "discovery is not available", http.StatusServiceUnavailable)
+				return
+			}
+			if !begun {
+				w.Header().Set("Content-Type", "application/json")
+			}
+			begun = true
+			line := []byte{'\n'}
+			if t.List != nil {
+				text, err := json.Marshal(e.wire(*t.List, d.node))
+				if err != nil {
+					panic(http.ErrAbortHandler)
+				}
+				line = append(text, '\n')
+			}
+			if _, err := w.Write(line); err != nil || t.Ends {
+				return
+			}
+			w.(http.Flusher).Flush()
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// told hands a call what discovery writes to it. What a watch was told counts from here on.
+func (e *Emulator) told(now time.Duration, t model.Told) {
+	c := e.calls[t.Call]
+	if c == nil {
+		return
+	}
+	if t.List != nil {
+		states := map[string]string{}
+		for _, s := range t.List.Entries {
+			states[s.ID] = s.State.String()
+		}
+		e.check.Told(now, c.node, t.List.Whole, states)
+	}
+	select {
+	case c.lines <- t:
+	default:
+		t.Ends = true
+		close(c.lines)
+	}
+	if t.Ends {
+		delete(e.calls, t.Call)
+	}
+}
--- a/internal/lab/model/portal.go
+++ b/internal/lab/model/portal.go
@@ -272,6 +272,49 @@
 // List is the whole list as discovery has it now.
 func (p *Portal) List() List { return p.roster.whole() }
 
+// ServerOf is the id of the server that a connection is to; empty once the connection has ended.
+func (p *Portal) ServerOf(id ConnID) string {
+	if c := p.conns[id]; c != nil {
+		return c.server.id
+	}
+	return ""
+}
+
+// ServerState is a server as it is, for tables and charts.
+type ServerState struct {
+	ID, Kind, Zone string
+	Slot           int
+	State          State
+	Dead, Silent   bool
+	Warmth         float64
+	Running        int
+	Waiting        int
+	Conns          int
+	Copies         int
+	Cores          int
+}
+
+// Servers are those that are there, in the order in which they came.
+func (p *Portal) Servers() []ServerState {
+	var out []ServerState
+	for _, s := range p.servers {
+		e := p.entry(s)
+		st := ServerState{ID: s.id, Kind: e.Kind, Zone: s.zone, Slot: s.slot, State: e.State, Dead: s.dead, Warmth: 1,
+			Silent: s.frozen > 0, Conns: len(s.open)}
+		for _, n := range s.cuts {
+			st.Silent = st.Silent || n > 0
+		}
+		if b := s.box; b != nil {
+			st.Running, st.Waiting, st.Warmth, st.Copies, st.Cores = len(b.running), len(b.waiting), b.warmth(p.now), len(b.memory.byKey), b.kind.Cores
+		} else {
+			st.Running, st.Waiting, st.Cores = s.origin.working, len(s.origin.waiting), s.origin.spec.Parallel
+			st.Silent = s.origin.still(p.now)
+		}
+		out = append(out, st)
+	}
+	return out
+}
+
 func (p *Portal) take() []Effect {
 	out := p.out
 	p.out = nil
--- /dev/null
+++ b/internal/lab/rules/rules.go
@@ -0,0 +1,371 @@
+// Package rules checks, from what a rig sees itself, that nodes keep the rules of the service: one final answer for
+// each request taken, by its deadline and made for it; nothing resent beyond what its class allows; no fresh work for
+// a box that a node was told drains; no cold box pushed over. It has no clock and no I/O: whoever sees an event tells
+// it with its time. It knows nothing of what nodes believe, so it can be wrong in their favour only: what never
+// reached the rig is not held against them.
+//
+// A Checker belongs to one goroutine. What it remembers of a request it forgets some seconds after its deadline.
+package rules
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Effect says how far requests of a class may be repeated.
+type Effect int
+
+// The effects.
+const (
+	Safe   Effect = iota // at any time
+	Keyed                // inside the window of their key
+	Unsafe               // only when no earlier attempt can have run
+)
+
+// Effects are the words for them.
+var Effects = map[string]Effect{"idempotent": Safe, "deduplicated": Keyed, "at_most_once": Unsafe}
+
+// Class is a class of requests.
+type Class struct {
+	Name   string
+	Effect Effect
+	Window time.Duration // Keyed: from the first attempt that may have run
+}
+
+// Figures are those of the rules. Grace is added to each limit, for what the rig itself takes.
+type Figures struct{ DrainWithin, Grace time.Duration }
+
+// Rule names a rule.
+type Rule string
+
+// The rules.
+const (
+	LostAnswer  Rule = "answer"  // one final answer by the deadline, made for the request
+	Repeated    Rule = "repeat"  // nothing resent beyond what the class allows
+	RefusedLate Rule = "refusal" // no refusal once something may have run
+	Drained     Rule = "drain"   // no fresh work for a box that drains or has gone
+	PushedOver  Rule = "cold"    // no cold box pushed over
+)
+
+// Violation is a rule that was broken, with what is known of the request.
+type Violation struct {
+	Rule    Rule
+	At      time.Duration
+	Text    string
+	History []string
+}
+
+func (v Violation) String() string {
+	s := fmt.Sprintf("rule %s broken at %.3f s: %s", v.Rule, v.At.Seconds(), v.Text)
+	if len(v.History) > 0 {
+		s += " [" + strings.Join(v.History, "; ") + "]"
+	}
+	return s
+}
+
+// Final is a client's final answer.
+type Final int
+
+// The final answers.
+const (
+	Served Final = iota
+	Refused
+	Failed
+)
+
+var finals = [...]string{"served", "refused", "failed"}
+
+func (f Final) String() string { return finals[f] }
+
+// Proof is what an answer of a server proves.
+type Proof int
+
+// The proofs.
+const (
+	MayHaveRun Proof = iota
+	NeverRan         // turned away, or nothing was held there
+)
+
+// Checker holds what the rules need.
+type Checker struct {
+	classes  map[string]Class
+	figures  Figures
+	requests map[string]*request
+	order    []*request // in the order in which they were first seen
+	nodes    map[int]*view
+	broken   []Violation
+	counts   Counts
+}
+
+// Counts is what was checked.
+type Counts struct{ Taken, Answered, Attempts, Told, Open int }
+
+type request struct {
+	id, class string
+	first     time.Duration
+	node      int
+	taken     bool // by a node, from one of the rig's clients
+	over      bool // it was answered, or its client left
+	deadline  time.Duration
+	attempts  []*attempt
+	ran       int
+	made      map[string]bool // servers that made a value for it
+	history   []string
+	forget    time.Duration
+}
+
+type attempt struct {
+	seq    uint64
+	server string
+	at     time.Duration
+	proof  Proof
+}
+
+// view is what a node was told of the list.
+type view struct {
+	known map[string]bool // servers, and whether they are still listed
+	out   map[string]told // those that take nothing new
+}
+
+type told struct {
+	at    time.Duration
+	state string
+}
+
+const (
+	remember = 5 * time.Second // past the deadline, or past the first sight where there is none
+	unknown  = 10 * time.Second
+	entries  = 40 // of a request's history
+	kept     = 50 // violations with their history; the rest are counted
+)
+
+// New makes a checker.
+func New(classes []Class, f Figures) *Checker {
+	c := &Checker{classes: map[string]Class{}, figures: f, requests: map[string]*request{}, nodes: map[int]*view{}}
+	for _, cl := range classes {
+		c.classes[cl.Name] = cl
+	}
+	return c
+}
+
+// Broken is every rule that was broken so far.
+func (c *Checker) Broken() []Violation { return c.broken }
+
+// Counts is what was checked so far.
+func (c *Checker) Counts() Counts {
+	n := c.counts
+	for _, r := range c.requests {
+		if r.taken && !r.over {
+			n.Open++
+		}
+	}
+	return n
+}
+
+func (c *Checker) report(rule Rule, now time.Duration, r *request, format string, args ...any) {
+	v := Violation{Rule: rule, At: now, Text: fmt.Sprintf(format, args...)}
+	if r != nil && len(c.broken) < kept {
+		v.History = append(v.History, r.history...)
+	}
+	c.broken = append(c.broken, v)
+}
+
+func (r *request) note(now time.Duration, format string, args ...any) {
+	if len(r.history) < entries {
+		r.history = append(r.history, fmt.Sprintf("%.3f ", now.Seconds())+fmt.Sprintf(format, args...))
+	}
+}
+
+// of is what is known of a request.
+func (c *Checker) of(now time.Duration, id, class string) *request {
+	r := c.requests[id]
+	if r == nil {
+		r = &request{id: id, class: class, first: now, made: map[string]bool{}, forget: now + unknown}
+		c.requests[id] = r
+		c.order = append(c.order, r)
+	}
+	return r
+}
+
+// Taken says that the last byte of a request was written to a node, whose machine had accepted the connection.
+func (c *Checker) Taken(now time.Duration, id, class string, node int, deadline time.Duration) {
+	r := c.of(now, id, class)
+	r.taken, r.node, r.deadline, r.forget = true, node, deadline, deadline+remember
+	r.note(now, "taken by node %d, due by %.3f", node, deadline.Seconds())
+	c.counts.Taken++
+}
+
+// Answered says that a client read the last byte of an answer. madeFor is the request that a value names; it is not
+// looked at for other answers.
+func (c *Checker) Answered(now time.Duration, id string, f Final, madeFor string) {
+	r := c.requests[id]
+	if r == nil || !r.taken {
+		c.report(LostAnswer, now, r, "an answer for %s, which nobody asked for", id)
+		return
+	}
+	if r.over {
+		r.note(now, "%s", f)
+		c.report(LostAnswer, now, r, "a second final answer for %s", id)
+		return
+	}
+	r.over = true
+	c.counts.Answered++
+	r.note(now, "%s", f)
+	if now > r.deadline+c.figures.Grace {
+		c.report(LostAnswer, now, r, "%s was answered %s past its deadline", id, (now - r.deadline).Round(time.Millisecond))
+	}
+	switch {
+	case f == Served && madeFor != id:
+		c.report(LostAnswer, now, r, "%s was served what was made for %q", id, madeFor)
+	case f == Served && len(r.made) == 0:
+		c.report(LostAnswer, now, r, "%s was served a value that no server made for it", id)
+	case f == Refused && c.classes[r.class].Effect == Unsafe && r.mayHaveRun() != nil:
+		c.report(RefusedLate, now, r, "%s of class %s was refused after an attempt at %s that may have run", id, r.class, r.mayHaveRun().server)
+	}
+}
+
+// Ended says that a node ended the connection on which an answer was owed. It is no break of a rule for a request
+// that the node may not have read; unread says that.
+func (c *Checker) Ended(now time.Duration, id string, unread bool) {
+	r := c.requests[id]
+	if r == nil || r.over {
+		return
+	}
+	r.over = true
+	r.note(now, "connection ended")
+	if !unread {
+		c.report(LostAnswer, now, r, "node %d ended the connection of %s without an answer", r.node, id)
+	}
+}
+
+// Left says that nothing is owed for a request any more: its client left, or the rig itself ended the node.
+func (c *Checker) Left(now time.Duration, id string) {
+	if r := c.requests[id]; r != nil && !r.over {
+		r.over = true
+		r.note(now, "left")
+	}
+}
+
+// Arrived says that the last byte of an attempt came to a server; first is when the first did.
+func (c *Checker) Arrived(now, first time.Duration, node int, server, id, class string, seq uint64) {
+	c.counts.Attempts++
+	r := c.of(now, id, class)
+	r.note(now, "attempt at %s", server)
+	if r.class != class {
+		c.report(Repeated, now, r, "%s came to %s as class %s", id, server, class)
+	}
+	if v := c.nodes[node]; v != nil {
+		if t, out := v.out[server]; out && first > t.at+c.figures.DrainWithin+c.figures.Grace {
+			c.report(Drained, now, r, "%s was sent to %s %s after node %d was told it is %s", id, server,
+				(first - t.at).Round(time.Millisecond), node, t.state)
+		}
+	}
+	if before := r.mayHaveRun(); before != nil {
+		switch cl := c.classes[r.class]; {
+		case cl.Effect == Unsafe:
+			c.report(Repeated, now, r, "%s of class %s was sent to %s after an attempt at %s that may have run", id, class, server, before.server)
+		case cl.Effect == Keyed && first > before.at+cl.Window+c.figures.Grace:
+			c.report(Repeated, now, r, "%s of class %s was sent to %s %s after an attempt that may have run, past its window", id, class,
+				server, (first - before.at).Round(time.Millisecond))
+		}
+	}
+	r.attempts = append(r.attempts, &attempt{seq: seq, server: server, at: first})
+}
+
+// mayHaveRun is the first attempt that may have run, if there is one.
+func (r *request) mayHaveRun() *attempt {
+	for _, a := range r.attempts {
+		if a.proof == MayHaveRun {
+			return a
+		}
+	}
+	return nil
+}
+
+// Made says that a server wrote its answer to an attempt. value tells that it holds a value made for the request.
+func (c *Checker) Made(now time.Duration, server, id string, seq uint64, p Proof, value bool, what string) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	r.note(now, "%s answers %s", server, what)
+	if value {
+		r.made[server] = true
+	}
+	for _, a := range r.attempts {
+		if a.seq == seq {
+			a.proof = p
+		}
+	}
+}
+
+// Ran says that work on a request began at a server.
+func (c *Checker) Ran(now time.Duration, server, id, class string) {
+	r := c.of(now, id, class)
+	r.ran++
+	r.note(now, "runs at %s", server)
+	if r.ran > 1 && c.classes[r.class].Effect == Unsafe {
+		c.report(Repeated, now, r, "%s of class %s ran %d times", id, r.class, r.ran)
+	}
+}
+
+// Told says that the list, or what changed of it, was written to a node. states are those of the servers, by id;
+// "up" is the only one under which a server takes fresh work.
+func (c *Checker) Told(now time.Duration, node int, whole bool, states map[string]string) {
+	c.counts.Told++
+	v := c.nodes[node]
+	if v == nil {
+		v = &view{known: map[string]bool{}, out: map[string]told{}}
+		c.nodes[node] = v
+	}
+	leave := func(id, state string) {
+		if _, out := v.out[id]; !out { // told again is not told later
+			v.out[id] = told{now, state}
+		}
+	}
+	for id, state := range states {
+		v.known[id] = state != "removed"
+		if state == "up" {
+			delete(v.out, id)
+		} else {
+			leave(id, state)
+		}
+	}
+	for id, listed := range v.known {
+		if _, named := states[id]; whole && !named && listed {
+			v.known[id] = false
+			leave(id, "gone")
+		}
+		if t, out := v.out[id]; out && !v.known[id] && now-t.at > time.Minute { // nobody remembers it by now
+			delete(v.known, id)
+			delete(v.out, id)
+		}
+	}
+}
+
+// Restarted says that a node started anew: it knows the list as its configuration has it.
+func (c *Checker) Restarted(node int) { delete(c.nodes, node) }
+
+// Fell says that a cold box was pushed over.
+func (c *Checker) Fell(now time.Duration, server string) {
+	c.report(PushedOver, now, nil, "%s was cold and fell over under what all nodes together sent it", server)
+}
+
+// Tick finds requests that were never answered and forgets old ones.
+func (c *Checker) Tick(now time.Duration) {
+	keep := c.order[:0]
+	for _, r := range c.order {
+		if r.taken && !r.over && now > r.deadline+c.figures.Grace {
+			r.over = true
+			c.report(LostAnswer, now, r, "%s was not answered by its deadline", r.id)
+		}
+		if now > r.forget {
+			delete(c.requests, r.id)
+			continue
+		}
+		keep = append(keep, r)
+	}
+	clear(c.order[len(keep):])
+	c.order = keep
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"os"
 	"reflect"
 	"slices"
 	"strings"
@@ -211,14 +212,23 @@
 	}
 }
 
-// Read reads a scenario. An error names the file, the line and the field.
+// Read reads a scenario from a file. An error names the file, the line and the field.
 func Read(path string) (*Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads a scenario from a text; path is for its name and for messages.
+func Parse(path string, text []byte) (*Scenario, error) {
 	s := Default()
 	s.Name = strings.TrimSuffix(path[strings.LastIndexByte(path, '/')+1:], ".toml")
 	// Lists of the defaults are replaced, not added to.
 	kinds, classes := s.Kind, s.Class
 	s.Kind, s.Class = nil, nil
-	file, err := tomlfile.Read(path, s)
+	file, err := tomlfile.Parse(path, text, s)
 	if err != nil {
 		return nil, err
 	}
