--- a/internal/lab/clients/clients.go
+++ b/internal/lab/clients/clients.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -28,8 +29,9 @@
 // Node is a node as clients see it. Each of its functions may be called at any time.
 type Node struct {
 	Addr string
-	// Stopping tells that the rig has told it to end: its connections may close between requests at any time.
-	Stopping func() bool
+	// Process returns a function for the process that is there now: whether the rig has told it to end, so that its
+	// connections may close between requests at any time.
+	Process func() (stopping func() bool)
 	// Used tells whether the front hands out connections to it.
 	Used func() bool
 }
@@ -151,9 +153,23 @@
 
 type conn struct {
 	net.Conn
-	rd   *bufio.Reader
-	node int
-	used time.Time // when it last had an answer; zero for a new one
+	rd       *bufio.Reader
+	used     time.Time // when it last had an answer; zero for a new one
+	stopping func() bool
+}
+
+// stale tells whether the node has closed a connection that stood idle. A client sees that before it writes.
+func (c *conn) stale() bool {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	var peeked error
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err != nil || !errors.Is(peeked, syscall.EAGAIN)
 }
 
 // crossing is how long a connection must have been idle for its close to pass for one between requests.
@@ -234,8 +250,7 @@
 		l.count(q, func(k *Class) { k.Lost++ })
 		return true
 	}
-	stopping := l.nodes[n].Stopping()
-	unread := !c.used.IsZero() && sent.Sub(c.used) > crossing || stopping
+	unread := !c.used.IsZero() && sent.Sub(c.used) > crossing || c.stopping()
 	l.em.Tell(func(now time.Duration, check *rules.Checker) { check.Ended(now, q.id, unread) })
 	if unread {
 		return false
@@ -252,19 +267,27 @@
 
 // conn takes the connection to a node that was used last, or opens one.
 func (l *Load) conn(n int) (*conn, error) {
-	l.mu.Lock()
-	if k := len(l.idle[n]); k > 0 {
+	for {
+		l.mu.Lock()
+		k := len(l.idle[n])
+		if k == 0 {
+			l.mu.Unlock()
+			break
+		}
 		c := l.idle[n][k-1]
 		l.idle[n] = l.idle[n][:k-1]
 		l.mu.Unlock()
-		return c, nil
+		if !c.stale() {
+			return c, nil
+		}
+		c.Close()
 	}
-	l.mu.Unlock()
+	stopping := l.nodes[n].Process()
 	nc, err := net.DialTimeout("tcp", l.nodes[n].Addr, time.Second)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, rd: bufio.NewReader(nc), node: n}, nil
+	return &conn{Conn: nc, rd: bufio.NewReader(nc), stopping: stopping}, nil
 }
 
 func (l *Load) closeIdle() {
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -126,7 +126,7 @@
 	}
 	var front []clients.Node
 	for _, p := range places {
-		front = append(front, clients.Node{Addr: p.Listen, Stopping: func() bool { return p.process().Stopping() || !p.used.Load() }, Used: p.used.Load})
+		front = append(front, clients.Node{Addr: p.Listen, Process: func() func() bool { return p.process().Stopping }, Used: p.used.Load})
 	}
 	load := clients.New(opt.Plan, em, front)
 	var over sync.WaitGroup
--- a/internal/lab/emulate/door.go
+++ b/internal/lab/emulate/door.go
@@ -36,25 +36,8 @@
 
 // newDoor binds a shut door on loopback; port 0 lets the system choose.
 func newDoor(port int, accept func(net.Conn)) (*door, error) {
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
-	if err != nil {
-		return nil, fmt.Errorf("socket: %w", err)
-	}
-	file := os.NewFile(uintptr(fd), "door")
-	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
-		file.Close()
-		return nil, fmt.Errorf("socket: %w", err)
-	}
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		file.Close()
-		if errors.Is(err, syscall.EADDRINUSE) {
-			return nil, &PortTakenError{port}
-		}
-		return nil, fmt.Errorf("bind 127.0.0.1:%d: %w", port, err)
-	}
-	name, err := syscall.Getsockname(fd)
+	file, port, err := bind(port)
 	if err != nil {
-		file.Close()
 		return nil, err
 	}
 	ln, err := net.FileListener(file)
@@ -62,13 +45,44 @@
 		file.Close()
 		return nil, err
 	}
-	d := &door{addr: fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port), file: file, ln: ln.(*net.TCPListener),
+	d := &door{addr: fmt.Sprintf("127.0.0.1:%d", port), file: file, ln: ln.(*net.TCPListener),
 		accept: accept, state: model.Shut}
 	d.changed.L = &d.mu
 	go d.serve()
 	return d, nil
 }
 
+// bind makes a socket that is bound but does not listen.
+func bind(port int) (*os.File, int, error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, 0, fmt.Errorf("socket: %w", err)
+	}
+	file := os.NewFile(uintptr(fd), "door")
+	err = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err == nil {
+		err = syscall.Bind(fd, &syscall.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}})
+	}
+	if err != nil {
+		file.Close()
+		if errors.Is(err, syscall.EADDRINUSE) {
+			return nil, 0, &PortTakenError{port}
+		}
+		return nil, 0, fmt.Errorf("bind 127.0.0.1:%d: %w", port, err)
+	}
+	if port != 0 {
+		return file, port, nil
+	}
+	// A port that the system chose is given back as the socket stops listening. One that was asked for is kept, so
+	// a second socket asks for it while the first one holds it.
+	defer file.Close()
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		return nil, 0, err
+	}
+	return bind(name.(*syscall.SockaddrInet4).Port)
+}
+
 // PortTakenError says that a port that was asked for is in use.
 type PortTakenError struct{ Port int }
 
--- a/internal/lab/emulate/emulate.go
+++ b/internal/lab/emulate/emulate.go
@@ -83,7 +83,8 @@
 		e.classes[c.Name] = c
 		classes = append(classes, rules.Class{Name: c.Name, Effect: rules.Effects[c.Effect], Window: c.Window.D()})
 	}
-	e.check = rules.New(classes, rules.Figures{DrainWithin: plan.Rules.DrainWithin.D(), Grace: plan.Rules.Grace.D()})
+	e.check = rules.New(classes, rules.Figures{DrainWithin: plan.Rules.DrainWithin.D(), ToldWithin: plan.Rules.ToldWithin.D(),
+		Grace: plan.Rules.Grace.D()})
 	e.portal = model.New(plan.Spec)
 	e.portal.Trace = opt.Trace
 	for i := range plan.Spec.Nodes {
@@ -249,6 +250,10 @@
 			e.check.Ran(now, ef.Server, ef.Request, ef.Class)
 		case model.Fell:
 			e.check.Fell(now, ef.Server)
+		case model.Listed:
+			e.check.Listed(now, ef.Server, ef.State.String())
+		case model.Reachable:
+			e.check.Reachable(now, ef.Up)
 		}
 	}
 	return failed
--- a/internal/lab/model/portal.go
+++ b/internal/lab/model/portal.go
@@ -128,6 +128,13 @@
 	}
 	// Fell says that a cold box was pushed over.
 	Fell struct{ Server string }
+	// Listed says that discovery has something new to tell of a server, for the rules.
+	Listed struct {
+		Server string
+		State  State
+	}
+	// Reachable says whether discovery answers, for the rules. It does at first.
+	Reachable struct{ Up bool }
 )
 
 func (Door) effect()   {}
@@ -137,6 +144,9 @@
 func (Ran) effect()    {}
 func (Fell) effect()   {}
 
+func (Listed) effect()    {}
+func (Reachable) effect() {}
+
 // Portal is all of it. It is not safe for concurrent use.
 type Portal struct {
 	spec    Spec
@@ -396,6 +406,7 @@
 	p.at(at, func() {
 		p.roster.set(e)
 		p.note("listed", e.ID, e.State.String())
+		p.emit(Listed{e.ID, e.State})
 		p.tellWatches()
 	})
 }
@@ -891,6 +902,7 @@
 func (p *Portal) rosterDown(sign int) {
 	r := p.roster
 	r.down += sign
+	p.emit(Reachable{r.down == 0})
 	if r.down > 0 {
 		for _, w := range r.watches {
 			p.emit(Told{Call: w.call, Ends: true, Failed: true})
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -33,8 +33,9 @@
 	Window time.Duration // Keyed: from the first attempt that may have run
 }
 
-// Figures are those of the rules. Grace is added to each limit, for what the rig itself takes.
-type Figures struct{ DrainWithin, Grace time.Duration }
+// Figures are those of the rules. What discovery has to tell counts as told after ToldWithin at the latest, as long
+// as it can be reached; 0 waits for ever. Grace is added to each limit, for what the rig itself takes.
+type Figures struct{ DrainWithin, ToldWithin, Grace time.Duration }
 
 // Rule names a rule.
 type Rule string
@@ -94,6 +95,9 @@
 	requests map[string]*request
 	order    []*request // in the order in which they were first seen
 	nodes    map[int]*view
+	listed   map[string]told // servers that discovery says take nothing new
+	down     bool            // discovery does not answer
+	upSince  time.Duration
 	broken   []Violation
 	counts   Counts
 }
@@ -142,7 +146,7 @@
 
 // New makes a checker.
 func New(classes []Class, f Figures) *Checker {
-	c := &Checker{classes: map[string]Class{}, figures: f, requests: map[string]*request{}, nodes: map[int]*view{}}
+	c := &Checker{classes: map[string]Class{}, figures: f, requests: map[string]*request{}, nodes: map[int]*view{}, listed: map[string]told{}}
 	for _, cl := range classes {
 		c.classes[cl.Name] = cl
 	}
@@ -255,11 +259,9 @@
 	if r.class != class {
 		c.report(Repeated, now, r, "%s came to %s as class %s", id, server, class)
 	}
-	if v := c.nodes[node]; v != nil {
-		if t, out := v.out[server]; out && first > t.at+c.figures.DrainWithin+c.figures.Grace {
-			c.report(Drained, now, r, "%s was sent to %s %s after node %d was told it is %s", id, server,
-				(first - t.at).Round(time.Millisecond), node, t.state)
-		}
+	if t, out := c.told(node, server); out && first > t.at+c.figures.DrainWithin+c.figures.Grace {
+		c.report(Drained, now, r, "%s was sent to %s %s after node %d was told it is %s", id, server,
+			(first - t.at).Round(time.Millisecond), node, t.state)
 	}
 	if before := r.mayHaveRun(); before != nil {
 		switch cl := c.classes[r.class]; {
@@ -273,6 +275,38 @@
 	r.attempts = append(r.attempts, &attempt{seq: seq, server: server, at: first})
 }
 
+// told is when a node was told, or counts as told, that a server takes nothing new.
+func (c *Checker) told(node int, server string) (told, bool) {
+	if v := c.nodes[node]; v != nil {
+		if t, out := v.out[server]; out {
+			return t, true
+		}
+	}
+	t, out := c.listed[server]
+	if !out || c.down || c.figures.ToldWithin == 0 {
+		return told{}, false
+	}
+	t.at = max(t.at, c.upSince) + c.figures.ToldWithin
+	return t, true
+}
+
+// Listed says that discovery has something new to tell of a server.
+func (c *Checker) Listed(now time.Duration, server, state string) {
+	if state == "up" {
+		delete(c.listed, server)
+	} else if _, out := c.listed[server]; !out {
+		c.listed[server] = told{now, state}
+	}
+}
+
+// Reachable says whether discovery answers from now on.
+func (c *Checker) Reachable(now time.Duration, up bool) {
+	if up && c.down {
+		c.upSince = now
+	}
+	c.down = !up
+}
+
 // mayHaveRun is the first attempt that may have run, if there is one.
 func (r *request) mayHaveRun() *attempt {
 	for _, a := range r.attempts {
@@ -352,6 +386,9 @@
 	c.report(PushedOver, now, nil, "%s was cold and fell over under what all nodes together sent it", server)
 }
 
+// longGone is when nobody remembers a server any more that takes nothing new.
+const longGone = 10 * time.Minute
+
 // Tick finds requests that were never answered and forgets old ones.
 func (c *Checker) Tick(now time.Duration) {
 	keep := c.order[:0]
@@ -368,4 +405,9 @@
 	}
 	clear(c.order[len(keep):])
 	c.order = keep
+	for id, t := range c.listed {
+		if now-t.at > longGone {
+			delete(c.listed, id)
+		}
+	}
 }
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -92,9 +92,17 @@
 			c.Told(0, 0, true, map[string]string{"a": "up"})
 			sent(c, 9*s, "b", "read", 1)
 		}, Drained},
+		"never asked":        {func(c *Checker) { c.Listed(0, "b", "draining"); sent(c, 8600*time.Millisecond, "b", "read", 1) }, Drained},
+		"in its time to ask": {func(c *Checker) { c.Listed(0, "b", "draining"); sent(c, 8500*time.Millisecond, "b", "read", 1) }, ""},
+		"discovery was down": {func(c *Checker) {
+			c.Listed(0, "b", "draining")
+			c.Reachable(s, false)
+			c.Reachable(5*s, true)
+			sent(c, 13*s, "b", "read", 1)
+		}, ""},
 		"pushed over": {func(c *Checker) { c.Fell(s, "b") }, PushedOver},
 	} {
-		c := New([]Class{{"read", Safe, 0}, {"sign", Keyed, 4 * s}, {"cert", Unsafe, 0}}, Figures{2500 * time.Millisecond, 50 * time.Millisecond})
+		c := New([]Class{{"read", Safe, 0}, {"sign", Keyed, 4 * s}, {"cert", Unsafe, 0}}, Figures{2500 * time.Millisecond, 6 * s, 50 * time.Millisecond})
 		test.see(c)
 		broken := c.Broken()
 		switch {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -123,6 +123,7 @@
 // Rules are the figures of the rules that the emulator checks.
 type Rules struct {
 	DrainWithin tomlfile.Duration `toml:"drain_within"` // from when a node was told
+	ToldWithin  tomlfile.Duration `toml:"told_within"`  // whatever discovery has to tell counts as told by then
 	Grace       tomlfile.Duration `toml:"grace"`        // past a deadline, and past the other limits
 	FallFactor  float64           `toml:"fall_factor"`
 	FallAfter   tomlfile.Duration `toml:"fall_after"`
@@ -197,7 +198,7 @@
 		Roster: Roster{Lag: Span{500 * time.Millisecond, 2 * time.Second}, Call: d(2 * time.Millisecond), Line: d(200 * time.Microsecond),
 			Timeout: d(2 * time.Second), Beat: d(2 * time.Second)},
 		Link: Link{Same: ms(0.09, 0.33), Cross: ms(0.7, 1.3), Retransmit: d(200 * time.Millisecond)},
-		Rules: Rules{DrainWithin: d(2500 * time.Millisecond), Grace: d(100 * time.Millisecond), FallFactor: 3,
+		Rules: Rules{DrainWithin: d(2500 * time.Millisecond), ToldWithin: d(6 * time.Second), Grace: d(100 * time.Millisecond), FallFactor: 3,
 			FallAfter: d(1500 * time.Millisecond)},
 		Class: []Class{
 			{Name: "view-logbook", Share: 0.964, Work: ms(95, 170), Aim: d(1500 * time.Millisecond), Deadline: d(6 * time.Second), Worth: 1,
--- a/tests/rig_test.go
+++ b/tests/rig_test.go
@@ -26,16 +26,17 @@
 // patience is generous: it only bounds how long a failing test takes.
 const patience = 20 * time.Second
 
-var program string
+// The real programs.
+var program, lab string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "shelfproxy")
 	if err != nil {
 		panic(err)
 	}
-	program = filepath.Join(dir, "shelfproxy")
-	args := append([]string{"build", "-buildvcs=false", "-o", program}, buildFlags...)
-	if out, err := exec.Command("go", append(args, "shelfproxy/cmd/shelfproxy")...).CombinedOutput(); err != nil {
+	program, lab = filepath.Join(dir, "shelfproxy"), filepath.Join(dir, "shelflab")
+	args := append([]string{"build", "-buildvcs=false", "-o", dir + "/"}, buildFlags...)
+	if out, err := exec.Command("go", append(args, "shelfproxy/cmd/shelfproxy", "shelfproxy/cmd/shelflab")...).CombinedOutput(); err != nil {
 		panic(string(out))
 	}
 	code := m.Run()
