Decide which client connections stay by what each has shown, in internal/admission

Change: admission.Table, without clock or I/O, holds connections by stage (said nothing, half a command, only greetings, one request, senseless, a rhythm of requests) in a few queues, so an event costs the same however many there are and nothing is swept. Patience shrinks smoothly, by a factor for each step of the pressure, which is the fill of the table and how fast it fills; a rhythm keeps its place for four of its own intervals. The listener calls it. After SIGTERM taking goes on for 2.2 s in place of 0.6 s, on the connections that clients keep.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -104,9 +104,9 @@
 	o := &Operator{
 		Listener: Listener{Share: 0.5, Pipelined: 128, Write: tomlfile.Duration(10 * time.Second),
 			Silent: tomlfile.Duration(2500 * time.Millisecond), Idle: tomlfile.Duration(time.Minute),
-			IdleCrowded: tomlfile.Duration(2 * time.Second)},
+			IdleCrowded: tomlfile.Duration(50 * time.Millisecond)},
 		Pools: Pools{TargetShare: 0.3, OriginShare: 0.1, Connections: 64, Waiting: 512},
-		Shutdown: Shutdown{Grace: tomlfile.Duration(600 * time.Millisecond),
+		Shutdown: Shutdown{Grace: tomlfile.Duration(2200 * time.Millisecond),
 			Last: tomlfile.Duration(3400 * time.Millisecond)},
 	}
 	o.Limits.MemoryMB, o.Limits.Sockets = 192, 1024
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -10,7 +10,7 @@
 // Counters may be used from any goroutine.
 type Counters struct {
 	Accepted, AcceptFailed, WriteFailed                   atomic.Int64 // the clients' connections
-	Silent, Evicted                                       atomic.Int64 // closed by the node: without a request, for room
+	Silent, Idle, Evicted                                 atomic.Int64 // closed by the node: said nothing, had no more to say, for room
 	Malformed, BadFraming, Duplicate                      atomic.Int64 // commands that are no request
 	Opened, OriginOpened                                  atomic.Int64 // connections to servers
 	Probes, Watches, Lists, WatchesBroken, WatchesGarbage atomic.Int64
@@ -59,6 +59,7 @@
 	line(&c.AcceptFailed, "listener_accept_failed")
 	line(&c.WriteFailed, "listener_write_failed")
 	line(&c.Silent, "listener_closed_silent")
+	line(&c.Idle, "listener_closed_idle")
 	line(&c.Evicted, "listener_closed_for_room")
 	line(&c.Malformed, "commands_malformed")
 	line(&c.BadFraming, "commands_bad_framing")
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -4,8 +4,6 @@
 	"errors"
 	"io"
 	"strings"
-	"sync/atomic"
-	"time"
 )
 
 // Bounds of one command, past which its framing counts as broken. A value somewhat over the largest is still
@@ -33,9 +31,9 @@
 	bulk   bool // the line in hand gives the length of a bulk string, not a count of them
 	n      int  // number read so far in the line
 	digits int
-	args   int          // bulk strings of the command still to come
-	size   int          // bytes of the command so far
-	began  atomic.Int64 // when the first byte of the command in hand came; 0 between commands
+	args   int    // bulk strings of the command still to come
+	size   int    // bytes of the command so far
+	half   func() // called when more is waited for with half a command in hand; may be nil
 }
 
 // What the guard expects next.
@@ -52,6 +50,9 @@
 	if g.err != nil {
 		return 0, g.err
 	}
+	if g.half != nil && (g.state != atStart || g.args > 0) {
+		g.half()
+	}
 	n, err := g.rd.Read(b)
 	for i := 0; i < n; i++ {
 		if g.state == inBulk {
@@ -76,9 +77,6 @@
 		if g.bulk = g.args > 0; g.bulk && c != '$' || !g.bulk && c != '*' {
 			return errFraming
 		}
-		if !g.bulk {
-			g.began.Store(time.Now().UnixNano())
-		}
 		g.n, g.digits, g.state = 0, 0, inNumber
 	case inNumber:
 		switch {
@@ -107,7 +105,6 @@
 		g.state = atStart
 		if g.args--; g.args == 0 {
 			g.size = 0
-			g.began.Store(0)
 		}
 	}
 	return nil
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -12,6 +12,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"shelfproxy/internal/admission"
 	"shelfproxy/internal/counters"
 	"shelfproxy/internal/flow"
 )
@@ -25,13 +26,15 @@
 
 	// How long a connection with no open request may stay.
 	Silent time.Duration // with nothing said yet, or half a command: it is owed an error by 3 s on the platform
-	Crowd  time.Duration // idle, with over half the table in use
+	Crowd  time.Duration // idle, in a table that is all but full
 	Idle   time.Duration // idle otherwise
 }
 
+// Bounds of the time between two looks at connections whose time is over, and how many may go at a look.
 const (
-	young = 100 * time.Millisecond // about to say its first word
-	tick  = 200 * time.Millisecond // between looks at all connections
+	soonest = 5 * time.Millisecond
+	latest  = 100 * time.Millisecond
+	atOnce  = 64
 )
 
 // Listener accepts clients and serves them until it is closed.
@@ -42,9 +45,12 @@
 	limits  Limits
 	count   *counters.Counters
 
+	start    time.Time
 	mu       sync.Mutex
 	room     sync.Cond // a connection was closed
-	conns    map[*conn]struct{}
+	table    *admission.Table
+	conns    map[uint64]*conn
+	lastID   uint64
 	draining bool
 	done     sync.WaitGroup
 }
@@ -52,7 +58,8 @@
 // New starts nothing yet; Serve does.
 func New(ln net.Listener, sink flow.Sink, classes []string, limits Limits, count *counters.Counters) *Listener {
 	l := &Listener{ln: ln, sink: sink, classes: map[string]bool{}, limits: limits, count: count,
-		conns: map[*conn]struct{}{}}
+		conns: map[uint64]*conn{}, start: time.Now(),
+		table: admission.NewTable(admission.DefaultTable(limits.Conns, limits.Silent, limits.Idle, limits.Crowd))}
 	l.room.L = &l.mu
 	for _, c := range classes {
 		l.classes[c] = true
@@ -74,67 +81,64 @@
 			continue
 		}
 		l.mu.Lock()
-		c := &conn{l: l, net: nc, used: time.Now(), guard: guard{rd: nc}}
+		l.lastID++
+		c := &conn{l: l, id: l.lastID, net: nc, guard: guard{rd: nc}}
+		c.guard.half = func() { l.event(func(now time.Duration) { l.table.Began(now, c.id) }) }
 		c.ready.L = &c.mu
-		l.conns[c] = struct{}{}
+		l.conns[c.id] = c
+		l.table.Open(l.now(), c.id)
 		l.done.Add(2)
 		l.count.Accepted.Add(1)
 		go c.read()
 		go c.write()
-		for len(l.conns) >= l.limits.Conns && !l.draining {
-			l.evict()
+		for !l.draining && !l.hasRoom() {
 			l.room.Wait() // the rest waits in the kernel's queue
 		}
 		l.mu.Unlock()
 	}
 }
 
-// evict makes room in a full table: whoever never made a request goes first, then the one idle for longest.
-func (l *Listener) evict() {
-	var worst *conn
-	var said bool
-	var used time.Time
-	now := time.Now()
-	for c := range l.conns {
-		s := c.look()
-		if s.open || s.leaving || !s.said && now.Sub(s.since) < young {
-			continue
-		}
-		if worst == nil || !s.said && said || s.said == said && s.since.Before(used) {
-			worst, said, used = c, s.said, s.since
-		}
-	}
-	if worst != nil {
+func (l *Listener) now() time.Duration { return time.Since(l.start) }
+
+// event tells the table what happened.
+func (l *Listener) event(f func(now time.Duration)) {
+	l.mu.Lock()
+	f(l.now())
+	l.mu.Unlock()
+}
+
+// hasRoom tells whether one more connection may be accepted; where not, one that may go is closed for it.
+func (l *Listener) hasRoom() bool {
+	ok, victim, found := l.table.Room(l.now())
+	if found {
 		l.count.Evicted.Add(1)
-		worst.finish()
+		l.conns[victim].finish()
 	}
+	return ok
 }
 
-// sweep closes connections that say nothing, or have nothing more to say, until the listener is closed. Without it
-// they would stay for good and keep usual clients out.
+// sweep closes the connections that the table gives up, until the listener is closed. Without it they would stay for
+// good and keep usual clients out.
 func (l *Listener) sweep() {
-	for range time.Tick(tick) {
-		now := time.Now()
+	for wait := latest; ; {
+		time.Sleep(wait)
 		l.mu.Lock()
 		if l.draining {
 			l.mu.Unlock()
 			return
 		}
-		patience := l.limits.Idle
-		if len(l.conns) > l.limits.Conns/2 {
-			patience = l.limits.Crowd
-		}
-		for c := range l.conns {
-			s := c.look()
-			if s.open || s.leaving || now.Sub(s.since) < min(patience, l.limits.Silent) {
-				continue
-			}
-			if !s.said || now.Sub(s.since) >= patience {
-				if !s.said {
-					l.count.Silent.Add(1)
-				}
-				c.finish()
+		now := l.now()
+		for _, id := range l.table.Due(now, atOnce) {
+			if l.table.Stage(id) <= admission.Partial {
+				l.count.Silent.Add(1)
+			} else {
+				l.count.Idle.Add(1)
 			}
+			l.conns[id].finish()
+		}
+		wait = latest
+		if at, ok := l.table.Wake(now); ok {
+			wait = min(max(at-now, soonest), latest)
 		}
 		l.room.Broadcast() // one that is no longer too young may go now
 		l.mu.Unlock()
@@ -148,7 +152,7 @@
 	l.draining = true
 	l.room.Broadcast()
 	conns := make([]*conn, 0, len(l.conns))
-	for c := range l.conns {
+	for _, c := range l.conns {
 		conns = append(conns, c)
 	}
 	l.mu.Unlock()
@@ -170,37 +174,18 @@
 
 type conn struct {
 	l     *Listener
+	id    uint64 // in the table
 	net   net.Conn
 	guard guard
 
 	mu     sync.Mutex
 	ready  sync.Cond
 	slots  []*slot
-	used   time.Time // when it was accepted, or the last answer was written
-	said   bool      // a command came whole
-	last   bool      // close once all that is owed is written
-	ended  bool      // the writing goroutine is done: no further command is taken
+	last   bool // close once all that is owed is written
+	ended  bool // the writing goroutine is done: no further command is taken
 	closed bool
 }
 
-// standing is what counts for whether a connection may stay.
-type standing struct {
-	open    bool // a request is open
-	leaving bool // its end is on the way
-	said    bool // a command came whole, and none is in hand
-	since   time.Time
-}
-
-func (c *conn) look() standing {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := standing{open: len(c.slots) > 0, leaving: c.last || c.closed, said: c.said, since: c.used}
-	if began := c.guard.began.Load(); began != 0 {
-		s.said, s.since = false, time.Unix(0, began)
-	}
-	return s
-}
-
 func (c *conn) finish() {
 	c.mu.Lock()
 	c.last = true
@@ -256,7 +241,8 @@
 	c.mu.Unlock()
 	c.net.Close()
 	c.l.mu.Lock()
-	delete(c.l.conns, c)
+	delete(c.l.conns, c.id)
+	c.l.table.Gone(c.l.now(), c.id)
 	c.l.room.Signal()
 	c.l.mu.Unlock()
 	for _, f := range gone {
@@ -275,14 +261,30 @@
 	if c.closed || c.ended {
 		return false
 	}
-	c.slots, c.said = append(c.slots, s), true
+	c.slots = append(c.slots, s)
 	if s.ready {
 		c.ready.Broadcast()
 	}
 	return true
 }
 
-func (c *conn) say(out []byte) { c.add(&slot{ready: true, out: out}) }
+// asked tells the table of a command that came whole, before its answer can be written.
+func (c *conn) asked(kind admission.Command) {
+	c.l.event(func(now time.Duration) { c.l.table.Asked(now, c.id, kind) })
+}
+
+// say answers a command without the node.
+func (c *conn) say(out []byte) {
+	c.asked(admission.Other)
+	c.add(&slot{ready: true, out: out})
+}
+
+// complain answers a command that makes no sense.
+func (c *conn) complain(text string) {
+	c.l.count.Malformed.Add(1)
+	c.asked(admission.Senseless)
+	c.add(&slot{ready: true, out: redcon.AppendError(nil, "ERR "+text)})
+}
 
 func (c *conn) take(cmd redcon.Command) {
 	name := cmd.Args[0]
@@ -290,12 +292,12 @@
 	case is(name, "CACHE.GET"), is(name, "CACHE.SET"):
 		f, err := c.l.parse(cmd)
 		if err != nil {
-			c.l.count.Malformed.Add(1)
-			c.say(redcon.AppendError(nil, "ERR "+err.Error()))
+			c.complain(err.Error())
 			return
 		}
 		s := &slot{flow: f}
 		f.Reply = func(r flow.Response) { c.reply(s, r) }
+		c.asked(admission.Request)
 		if c.add(s) {
 			c.l.sink.Take(f)
 		}
@@ -311,8 +313,7 @@
 		c.say(redcon.AppendOK(nil))
 		c.finish()
 	default:
-		c.l.count.Malformed.Add(1)
-		c.say(redcon.AppendError(nil, "ERR unknown command"))
+		c.complain("unknown command")
 	}
 }
 
@@ -435,8 +436,8 @@
 		// Only now are these answers no longer owed: a connection with slots is not closed as idle.
 		c.mu.Lock()
 		c.slots = append(c.slots[:0:0], c.slots[n:]...)
-		c.used = time.Now()
 		c.ready.Broadcast()
 		c.mu.Unlock()
+		c.l.event(func(now time.Duration) { c.l.table.Answered(now, c.id, n) })
 	}
 }
