Budget second attempts, divide descriptors by need, take connections in turn, tell a cut from a restart

Need: at the front hundreds of commands of one connection went before everybody else's, descriptors were divided by fixed shares, stuck readers could fill 32 MB, and attempts had no bound but six each. A server silent for over a second counted as cold for 23 s though it may only have been cut off.

Change: admission.Split moves descriptors to the side in need from what others have not used of late; Intake takes requests connection by connection (deficit round robin); Sojourn tells the module when the loop is behind, which then refuses a share of the lowest worth; Table cuts off clients that take none of their answers when more than a sixth of the memory is owed. In the module second attempts and moves of held reads cost a budget by class (a third of the first ones; one and a half for what is worth most), and four hits without a miss, with no connect refused meanwhile, show that a server that was silent lost nothing. In the lab doors shut before connections are reset, as a test showed a dial that came between.

--- /dev/null
+++ b/brain/admission_test.go
@@ -0,0 +1,106 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A server that was silent and answers again counts as cold, as it may have restarted. That it was only cut off shows
+// by what it still holds; that it restarted by a connect that was refused meanwhile, a miss or the list.
+func TestCutIsToldFromARestart(t *testing.T) {
+	for name, test := range map[string]struct {
+		meanwhile Reason // how an attempt ended while it was silent
+		took      time.Duration
+		answers   []Reason
+		cold      bool
+	}{
+		"nothing shown yet":            {TimedOut, time.Second, nil, true},
+		"it still holds its copies":    {TimedOut, time.Second, []Reason{OK, OK, OK, OK}, false},
+		"it holds some and lacks some": {TimedOut, time.Second, []Reason{OK, Miss, OK, OK, OK, OK}, true},
+		"it refused a connect":         {NoConnection, 2 * ms, []Reason{OK, OK, OK, OK}, true},
+		"a connect never came up":      {NoConnection, 250 * ms, []Reason{OK, OK, OK, OK}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, testSettings(), "s1")
+			b.others(20)
+			s := b.r.byID["s1"]
+			b.ask("high", "lost", func(q *Request) { q.Deadline += time.Minute })
+			lost := b.nextID - 1
+			var actions []Action
+			for b.now += 2 * time.Second; len(find[Probe](actions)) == 0; b.now += upkeepEvery {
+				actions = b.do(Timer{housekeep})
+			}
+			for range 2 {
+				b.now += 300 * ms
+				b.do(Probed{Server: "s1", Reason: TimedOut})
+			}
+			if !s.silent {
+				t.Fatal("not silent")
+			}
+			b.now += 2 * time.Second
+			b.do(Outcome{ID: lost, Attempt: 0, Reason: test.meanwhile, Took: test.took})
+			b.now += time.Second
+			b.do(Probed{Server: "s1", Reason: OK})
+			if s.silent || b.r.warmth(s) > 0.3 {
+				t.Fatal("it is not back, or not taken to be cold at first")
+			}
+			for i, reason := range test.answers {
+				id, actions := b.ask("high", fmt.Sprint("k", i), nil)
+				for b.sentTo(actions) != "s1" { // for a cold server lots are drawn; the others go to the origin
+					b.end(id, OK, 5*ms)
+					id, actions = b.ask("high", fmt.Sprint("k", i, b.nextID), nil)
+				}
+				b.do(Outcome{ID: id, Attempt: 0, Server: "s1", Reason: reason, Took: 5 * ms, Ended: reason == OK})
+			}
+			if cold := b.r.warmth(s) < 1; cold != test.cold {
+				t.Errorf("counts as cold: %v, want %v", cold, test.cold)
+			}
+		})
+	}
+}
+
+// While the node is behind with its own work a share of what may be refused is, the lowest worth first; writes and
+// critical reads never are.
+func TestStrainRefusesTheLowestWorth(t *testing.T) {
+	b := learnt(t)
+	refused := func(class string, change func(*Request)) (n int) {
+		for range 100 {
+			id, actions := b.ask(class, fmt.Sprint("s", b.nextID), change)
+			if len(find[Refuse](actions)) > 0 {
+				n++
+				continue
+			}
+			b.now += ms
+			b.end(id, OK, ms)
+		}
+		return n
+	}
+	b.do(Strain{Level: 0.25})
+	low, middle, high, writes := refused("low", nil), refused("middle", nil), refused("high", nil), refused("low", write)
+	if low < 60 || middle < 15 || middle > 35 || high != 0 || writes != 0 {
+		t.Errorf("refused of 100: low %d, middle %d, high %d, writes %d", low, middle, high, writes)
+	}
+	b.do(Strain{})
+	if n := refused("low", nil); n != 0 {
+		t.Errorf("%d refused when it is no longer behind", n)
+	}
+}
+
+// When much fails at once, attempts do not multiply: past the budget a request ends instead of being tried again.
+func TestSecondAttemptsHaveABudget(t *testing.T) {
+	b := newBench(t, testSettings(), "s1", "s2", "s3")
+	b.others(50)
+	sends := 0
+	for range 400 {
+		id, _ := b.ask("low", fmt.Sprint("b", b.nextID), nil)
+		for b.r.requests[id] != nil && b.r.requests[id].open > 0 {
+			b.end(id, Reset, ms)
+		}
+		sends += b.sent[id]
+		b.now += ms
+	}
+	if sends < 450 || sends > 400*14/10 {
+		t.Errorf("%d attempts for 400 requests that all fail", sends)
+	}
+}
--- a/brain/api.go
+++ b/brain/api.go
@@ -168,6 +168,10 @@
 	Reason Reason
 }
 
+// Strain says that the program around the router is behind with its own work: a share of the requests that may be
+// refused should be, from 0 (none) to 1 (all), until it is told anew.
+type Strain struct{ Level float64 }
+
 // Timer says that a SetTimer has come due.
 type Timer struct{ Token uint64 }
 
@@ -178,6 +182,7 @@
 func (Streaming) event() {}
 func (Probed) event()    {}
 func (Timer) event()     {}
+func (Strain) event()    {}
 
 // Action is something the router wants done: one of the types below it.
 type Action interface{ action() }
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -33,6 +33,8 @@
 	criticalMax = 0.2                     // share over the maximum past which critical reads are refused too
 	extreme     = 0.5                     // share over the maximum at which writes beyond a share wait
 	moveMost    = 4                       // reads that move on from a cache server at a time
+	refusedBy   = 50 * time.Millisecond   // a connect that fails sooner was refused: nobody listens
+	wholeBy     = 4                       // hits without a miss that show a memory that is whole
 	maxResets   = 2                       // probes in a row that may break before that counts as no answer
 	inHand      = 2                       // reads out at a cache server from which it can count as crowded
 	holdWrites  = 100 * time.Millisecond  // before they look again
@@ -235,7 +237,12 @@
 	if over <= 0 {
 		return false
 	}
-	whole, rest := math.Modf(r.owed[b] + min(1, over/width))
+	return r.lot(b, over/width)
+}
+
+// lot tells whether this one is due of a share of a bucket's work, spread evenly.
+func (r *Router) lot(b bucket, share float64) bool {
+	whole, rest := math.Modf(r.owed[b] + min(1, share))
 	r.owed[b] = rest
 	return whole >= 1
 }
@@ -272,6 +279,12 @@
 	default:
 		q.bucket = bulk
 	}
+	r.budgets[c].First(r.now)
+	// While the node is behind with its own work a share of what may be refused is, before it costs anything.
+	if r.strain > 0 && q.bucket != critical && r.lot(q.bucket, r.strain*float64(q.bucket)) {
+		r.refuse(q)
+		return
+	}
 	r.advance(q)
 }
 
@@ -453,6 +466,7 @@
 	case TimedOut, NoConnection, Reset:
 		if e.Reason == NoConnection {
 			r.unreached[s.Zone]++
+			s.refused = s.refused || e.Took < refusedBy
 		}
 		s.gauge.observe(r.now, e.Took, true)
 		r.suspect(s)
@@ -460,11 +474,18 @@
 		s.gauge.observe(r.now, e.Took, e.Reason != OK)
 		if e.Reason == OK && s != r.origin {
 			r.served += r.one
+			if s.doubt == 1 { // so many hits and no miss: its memory is whole, it was only cut off
+				s.cold = s.before
+			}
+			s.doubt = max(0, s.doubt-1)
 		}
 		fallthrough
 	case Miss, Spoilt: // says nothing of the load
 		r.alive(s)
 	}
+	if e.Reason == Miss {
+		s.doubt = 0
+	}
 	mayHaveRun := slices.Contains([]Reason{Errored, TimedOut, Reset, Cancelled, Spoilt}, e.Reason)
 	if mayHaveRun && q.risk == nil {
 		q.risk = a
@@ -480,7 +501,7 @@
 	case e.Reason == Miss:
 		q.missed = true
 		r.advance(q)
-	case e.Reason == TimedOut || e.Reason == Moot:
+	case e.Reason == TimedOut || e.Reason == Moot || !r.budgets[q.class].Second(r.now):
 		r.giveUp(q)
 	case cache && e.Reason == Spoilt: // again where the object is: any server spoils an answer now and then
 		if len(q.attempts) > 1 {
@@ -506,7 +527,12 @@
 	if s.silent {
 		s.silent = false
 		if r.now-s.since > askEvery {
-			s.cold = r.now // it is taken to have restarted, until the list tells when
+			// It is taken to have restarted, until the list tells when or it shows that it lost nothing.
+			// A connect that was refused says that its process was not there.
+			s.before, s.cold, s.doubt = s.cold, r.now, wholeBy
+			if s.refused {
+				s.doubt = 0
+			}
 		}
 		r.logf("server %s answers again", s.ID)
 	}
@@ -521,7 +547,7 @@
 }
 
 func (r *Router) silence(s *server) {
-	s.silent, s.since = true, r.now
+	s.silent, s.since, s.refused, s.doubt = true, r.now, false, 0
 	r.logf("server %s is silent: out of the map", s.ID)
 	for _, a := range slices.Clone(s.gauge.out) {
 		if r.set.Cancels && !a.q.ended && a.q.class.Effect == Safe {
@@ -558,7 +584,9 @@
 		patience *= 2
 	}
 	for _, a := range slices.Clone(s.gauge.out[:min(len(s.gauge.out), moveMost)]) {
-		if q := a.q; !q.ended && !q.Write && q.class.Effect == Safe && r.now-a.at > patience {
+		q := a.q
+		if !q.ended && !q.Write && q.class.Effect == Safe && r.now-a.at > patience &&
+			r.budgets[q.class].Second(r.now) {
 			q.missed = true
 			r.act(Cancel{ID: q.ID, Attempt: slices.Index(q.attempts, a)})
 		}
@@ -611,7 +639,7 @@
 	for _, l := range e.Servers {
 		s := r.server(l.ID)
 		if l.Started > s.Started && r.now < l.Started+r.set.WarmAfter {
-			s.cold = l.Started
+			s.cold, s.doubt = l.Started, 0
 			s.silent = s.silent && l.Started <= s.since
 		}
 		s.Server, s.listed = l, l.State != Dead
--- a/brain/router.go
+++ b/brain/router.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"shelfproxy/internal/admission"
 )
 
 // bucket ranks work by worth; the highest value is refused first.
@@ -51,6 +53,9 @@
 	heard   Time    // last sign of life
 	resets  int     // probes that broke since
 	cold    Time    // start of its warm-up; 0 when warm
+	before  Time    // what cold was before it was silent
+	refused bool    // a connect was refused while it was silent
+	doubt   int     // hits still wanted to show that it was only cut off; 0 without a doubt
 	asked   float64 // requests, or parts of those of hot keys, that it was a choice for; counted like keys
 	gauge   gauge
 }
@@ -106,10 +111,12 @@
 	pool      gauge // of all cache servers
 	requests  map[uint64]*request
 	flights   map[string]*flight
-	owed      [bulk + 1]float64 // refusals due by bucket, spread evenly
-	takers    float64           // cache servers that are listed for work, silent ones too
-	all, one  float64           // requests, and what one counts now; see countKey
-	served    float64           // answers of cache servers, counted like all
+	budgets   map[*Class]*admission.Budget // of second attempts
+	strain    float64                      // share of what may be refused that should be, as the node is behind
+	owed      [bulk + 1]float64            // refusals due by bucket, spread evenly
+	takers    float64                      // cache servers that are listed for work, silent ones too
+	all, one  float64                      // requests, and what one counts now; see countKey
+	served    float64                      // answers of cache servers, counted like all
 	allAt     Time
 	keys      map[string]float64 // requests by key
 	sweepAt   Time               // when forgotten keys are dropped next
@@ -119,12 +126,22 @@
 	askAt     Time
 }
 
+// Second attempts that a class may have: a share of its first ones, some a second in any case, and so many saved up.
+// What is worth most may be tried twice each; a brown-out of the rest costs a third more.
+const (
+	secondShare    = 0.34
+	secondCritical = 1.5
+	secondLeast    = 3
+	secondMost     = 30
+	criticalWorth  = 0.7
+)
+
 // New makes a Router. The seed feeds its only random numbers: waits, lots and the phase of refusals.
 func New(set Settings, seed uint64) (*Router, error) {
 	r := &Router{set: set, rng: rand.New(rand.NewPCG(seed, seed)), classes: map[string]*Class{},
 		tenants: map[string]*tenant{}, byID: map[string]*server{}, unreached: map[string]int{},
 		requests: map[uint64]*request{}, flights: map[string]*flight{}, keys: map[string]float64{},
-		one: 1, askWait: askEvery}
+		one: 1, askWait: askEvery, budgets: map[*Class]*admission.Budget{}}
 	if err := set.validate(); err != nil {
 		return nil, err
 	}
@@ -133,6 +150,13 @@
 		r.classes[c.Name] = c
 		r.topWorth = max(r.topWorth, c.Worth)
 	}
+	for i := range set.Classes {
+		c := &set.Classes[i]
+		r.budgets[c] = &admission.Budget{Share: secondShare, Least: secondLeast, Most: secondMost}
+		if c.Worth > criticalWorth*r.topWorth {
+			r.budgets[c].Share = secondCritical
+		}
+	}
 	r.pool.objectives = r.objectives()
 	r.pool.floor = time.Duration(float64(r.pool.limit) * poolFloor)
 	for b := range r.owed {
@@ -172,6 +196,8 @@
 		if s := r.byID[e.Server]; s != nil {
 			r.probed(s, e.Reason)
 		}
+	case Strain:
+		r.strain = e.Level
 	case Timer:
 		if e.Token == housekeep {
 			r.upkeep()
--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"shelfproxy/internal/admission"
 	"shelfproxy/internal/config"
 	"shelfproxy/internal/counters"
 	"shelfproxy/internal/discovery"
@@ -36,6 +37,9 @@
 	count *counters.Counters
 	node  *node.Node
 	front *listener.Listener
+
+	split            *admission.Split
+	targets, origins *forward.Budget
 }
 
 func run(cfg *config.Config, file string) error {
@@ -55,11 +59,16 @@
 	go d.front.Serve()
 	d.log.Info("the node is up", logs.Event, "started", "name", cfg.Name, "listen", cfg.Listen)
 
+	begun := time.Now()
+	looks := time.NewTicker(look)
+	defer looks.Stop()
 	var over <-chan struct{} // once SIGTERM came; reloads go on until then
 	for {
 		select {
 		case <-hup:
 			d.reload()
+		case <-looks.C:
+			d.divide(time.Since(begun))
 		case <-usr:
 			d.tally()
 		case <-term:
@@ -97,20 +106,26 @@
 	}
 	count := counters.New(classes, flow.Kinds(), ends)
 
-	// Descriptors: a part is for discovery, the log and the runtime, the rest is divided.
+	// Descriptors: a part is for discovery, the log and the runtime, the rest is divided, and divided anew by need.
 	sockets := float64(cfg.Sockets - 32)
-	targets, origins := forward.NewBudget(int(sockets*op.Pools.TargetShare)), max(1, int(sockets*op.Pools.OriginShare))
+	start := [admission.Sides]int{admission.Clients: int(sockets * op.Listener.Share),
+		admission.Targets: int(sockets * op.Pools.TargetShare), admission.Origin: max(1, int(sockets*op.Pools.OriginShare))}
+	split := admission.SplitPolicy{Start: start, Step: max(1, cfg.Sockets/48), Hold: 2 * time.Second, Fade: 5 * time.Second}
+	for i, n := range start {
+		split.Floor[i] = max(1, n*2/5)
+	}
+	targets, origins := forward.NewBudget(start[admission.Targets]), forward.NewBudget(start[admission.Origin])
 	limits := forward.Limits{Connect: cfg.Node.ConnectTimeout, Idle: cfg.Node.ConnIdle * 8 / 10,
 		Streams: cfg.Node.Streams, Conns: op.Pools.Connections, Waiting: op.Pools.Waiting}
 	originLimits := limits
-	originLimits.Streams, originLimits.Conns = 1, origins
+	originLimits.Streams, originLimits.Conns = 1, cfg.Sockets // the budget bounds them
 
 	n, err := node.New(node.Options{Module: cfg.Module, Seed: cfg.Seed, MaxOpen: cfg.Node.MaxOpen, MaxWait: cfg.Node.LongestWait,
 		Known: cfg.Known, Source: &discovery.Client{Addr: cfg.Discovery}, Count: count, Log: logs.Component(log, "node"),
 		Upstream: func(s discovery.Server, isOrigin bool, report func(*forward.Forward, forward.Answer)) node.Upstream {
 			if isOrigin {
 				return forward.NewPool(s.Addr, origin.Codec{Host: s.Addr}, originLimits,
-					forward.NewBudget(origins), report, func() { count.OriginOpened.Add(1) })
+					origins, report, func() { count.OriginOpened.Add(1) })
 			}
 			return forward.NewPool(s.Addr, target.Codec{}, limits, targets, report, func() { count.Opened.Add(1) })
 		}})
@@ -121,10 +136,32 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	front := listener.New(ln, n, classes, listener.Limits{Conns: int(sockets * op.Listener.Share),
+	front := listener.New(ln, n, classes, listener.Limits{Conns: start[admission.Clients],
 		Pipelined: op.Listener.Pipelined, Value: 64 << 10, Write: op.Listener.Write.D(), Silent: op.Listener.Silent.D(),
-		Crowd: op.Listener.IdleCrowded.D(), Idle: op.Listener.Idle.D()}, count)
-	return &daemon{cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front}, nil
+		Crowd: op.Listener.IdleCrowded.D(), Idle: op.Listener.Idle.D(), Owed: cfg.MemoryMB << 20 / 6}, count)
+	return &daemon{cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front,
+		split: admission.NewSplit(split), targets: targets, origins: origins}, nil
+}
+
+// look is how often descriptors are divided anew.
+const look = 250 * time.Millisecond
+
+// divide moves descriptors to where they are needed.
+func (d *daemon) divide(now time.Duration) {
+	var uses [admission.Sides]admission.Use
+	for side, use := range map[admission.Side]func() (int, int64){admission.Clients: d.front.Use,
+		admission.Targets: d.targets.Use, admission.Origin: d.origins.Use} {
+		uses[side].InUse, uses[side].Refused = use()
+	}
+	if d.split.Look(now, uses) {
+		l := d.split.Limits()
+		d.count.Moves.Add(1)
+		d.front.SetPlaces(l[admission.Clients])
+		d.targets.Set(l[admission.Targets])
+		d.origins.Set(l[admission.Origin])
+		d.log.Debug("descriptors are divided anew", logs.Event, "descriptors_moved", "clients", l[admission.Clients],
+			"targets", l[admission.Targets], "origin", l[admission.Origin])
+	}
 }
 
 func catch(signals ...os.Signal) <-chan os.Signal {
--- a/internal/admission/table.go
+++ b/internal/admission/table.go
@@ -36,6 +36,10 @@
 	Beats    float64
 	// Low and High bound, as shares of the places, where patience shrinks: all of it up to Low, the least from High on.
 	Low, High float64
+	// Bytes is how much may be owed to all connections together; 0 is no bound. Past it those that took none of what
+	// they are owed for Stuck are given up, the one that has been stuck for longest first.
+	Bytes int
+	Stuck time.Duration
 	// Ahead is how far the drift of the table is looked ahead: a table that fills counts as fuller than it is.
 	Ahead time.Duration
 }
@@ -51,7 +55,7 @@
 			Greeted: {idle, short},
 			Once:    {idle, short},
 			Rude:    {min(idle, 2*time.Second), short},
-			Regular: {idle, short},
+			Regular: {idle, min(idle, max(short, 400*time.Millisecond))}, // a rhythm has its gaps
 		}}
 }
 
@@ -69,7 +73,9 @@
 	entries map[uint64]*entry
 	queues  [int(stages) + rhythms]queue // by stage, the regular ones by rhythm
 	used    int
-	leaving int // given up, and not gone yet
+	leaving int               // given up, and not gone yet
+	owed    int               // bytes
+	heavy   map[uint64]*entry // those that are owed more than light
 	drift   float64
 	driftAt Time
 }
@@ -86,6 +92,8 @@
 	partial    bool
 	rude       bool
 	given      bool
+	owed       int  // bytes of answers that are ready and not written
+	moved      Time // when some of them were last written, or the first became ready
 	queue      *queue
 	prev, next *entry
 }
@@ -131,7 +139,9 @@
 }
 
 // NewTable makes an empty table.
-func NewTable(p TablePolicy) *Table { return &Table{policy: p, entries: map[uint64]*entry{}} }
+func NewTable(p TablePolicy) *Table {
+	return &Table{policy: p, entries: map[uint64]*entry{}, heavy: map[uint64]*entry{}}
+}
 
 // SetPlaces changes the number of places. A table with more connections than that is full until enough have gone.
 func (t *Table) SetPlaces(n int) { t.policy.Places = n }
@@ -210,6 +220,51 @@
 	}
 }
 
+// light is how much a connection may be owed without being looked at when there is too much of it.
+const light = 32 << 10
+
+// Owes says that so many bytes of answers became ready for a connection, or, below 0, were written to it.
+func (t *Table) Owes(now Time, id uint64, bytes int) {
+	e := t.entries[id]
+	if e == nil {
+		return
+	}
+	if bytes < 0 || e.owed == 0 {
+		e.moved = now
+	}
+	e.owed += bytes
+	t.owed += bytes
+	if e.owed > light {
+		t.heavy[id] = e
+	} else {
+		delete(t.heavy, id)
+	}
+}
+
+// Stuck gives up a connection that takes none of what it is owed while too much is owed to all together. It is to be
+// cut off: what it is owed will never be written.
+func (t *Table) Stuck(now Time) (id uint64, found bool) {
+	if t.policy.Bytes <= 0 || t.owed <= t.policy.Bytes {
+		return 0, false
+	}
+	var worst *entry
+	for _, e := range t.heavy {
+		if now-e.moved >= t.policy.Stuck && (worst == nil || e.moved < worst.moved || e.moved == worst.moved && e.id < worst.id) {
+			worst = e
+		}
+	}
+	if worst == nil {
+		return 0, false
+	}
+	delete(t.heavy, worst.id)
+	t.owed -= worst.owed
+	worst.owed = 0
+	if !worst.given {
+		t.give(worst)
+	}
+	return worst.id, true
+}
+
 // Gone says that a connection has ended.
 func (t *Table) Gone(now Time, id uint64) {
 	e := t.entries[id]
@@ -218,6 +273,8 @@
 	}
 	e.unlink()
 	delete(t.entries, id)
+	delete(t.heavy, id)
+	t.owed -= e.owed
 	t.used--
 	if e.given {
 		t.leaving--
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -10,9 +10,10 @@
 // Counters may be used from any goroutine.
 type Counters struct {
 	Accepted, AcceptFailed, WriteFailed                   atomic.Int64 // the clients' connections
-	Silent, Idle, Evicted                                 atomic.Int64 // closed by the node: said nothing, had no more to say, for room
+	Silent, Idle, Evicted, Stuck                          atomic.Int64 // closed by the node: said nothing, had no more to say, for room, took no answers
 	Malformed, BadFraming, Duplicate                      atomic.Int64 // commands that are no request
 	Opened, OriginOpened                                  atomic.Int64 // connections to servers
+	Moves                                                 atomic.Int64 // descriptors that were moved from one use to another, in times
 	Probes, Watches, Lists, WatchesBroken, WatchesGarbage atomic.Int64
 	Reloads, ReloadsBad                                   atomic.Int64 // configurations read again, and those that were no good
 	Late                                                  atomic.Int64 // answers of servers that came after their flow's end
@@ -61,11 +62,13 @@
 	line(&c.Silent, "listener_closed_silent")
 	line(&c.Idle, "listener_closed_idle")
 	line(&c.Evicted, "listener_closed_for_room")
+	line(&c.Stuck, "listener_closed_stuck")
 	line(&c.Malformed, "commands_malformed")
 	line(&c.BadFraming, "commands_bad_framing")
 	line(&c.Duplicate, "commands_duplicate")
 	line(&c.Opened, "target_connections_opened")
 	line(&c.OriginOpened, "origin_connections_opened")
+	line(&c.Moves, "descriptors_moved")
 	line(&c.Probes, "probes_sent")
 	line(&c.Watches, "discovery_watches")
 	line(&c.WatchesBroken, "discovery_watches_broken")
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -14,6 +14,8 @@
 	Value   []byte // of a write
 	Taken   time.Time
 	Wait    time.Duration // how long the client waits, from when it sent the request
+	Conn    uint64        // the connection it came on, for taking turns; the listener's own number
+	Left    bool          // its client left before the node took it; the node's own
 	// Reply takes the final answer. The node calls it once and never waits in it.
 	Reply func(Response)
 }
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -66,20 +66,29 @@
 }
 
 // Budget counts the descriptors that several pools share.
-type Budget struct{ left atomic.Int64 }
+type Budget struct{ total, left, refused atomic.Int64 }
 
 // NewBudget returns a budget of n descriptors.
 func NewBudget(n int) *Budget {
 	b := &Budget{}
-	b.left.Store(int64(n))
+	b.Set(n)
 	return b
 }
 
+// Set changes the size of the budget. Connections past a smaller one stay until they end.
+func (b *Budget) Set(n int) { b.left.Add(int64(n) - b.total.Swap(int64(n))) }
+
+// Use is how many are in use, and how often there was none left.
+func (b *Budget) Use() (used int, refused int64) {
+	return int(b.total.Load() - b.left.Load()), b.refused.Load()
+}
+
 func (b *Budget) take() bool {
 	if b.left.Add(-1) >= 0 {
 		return true
 	}
 	b.left.Add(1)
+	b.refused.Add(1)
 	return false
 }
 
--- a/internal/lab/model/portal.go
+++ b/internal/lab/model/portal.go
@@ -416,20 +416,20 @@
 	if s.box != nil {
 		s.box.advance(p.now)
 	}
+	var resets []func(*conn) bool // after the doors: who sees one must not find the door open
 	if dead := s.gone || s.kills > 0; dead != s.dead {
 		s.dead = dead
 		if dead {
 			p.note("died", s.id)
-			p.resetAll(s, func(*conn) bool { return true })
+			resets = append(resets, func(*conn) bool { return true })
 			s.held = nil
-			if s.box != nil {
-				s.box.restart(p.now, true)
-			}
 		} else {
 			p.note("started", s.id)
-			s.box.restart(p.now, true)
 			s.started = max(p.now, 1)
 		}
+		if s.box != nil {
+			s.box.restart(p.now, true)
+		}
 		p.publish(s)
 	}
 	if s.box != nil {
@@ -452,13 +452,16 @@
 		if was := s.doors[n]; state != was {
 			s.doors[n] = state
 			if was == Silent { // what was open meanwhile is reset now that the machine is back
-				p.resetAll(s, func(c *conn) bool { return c.node == n })
+				resets = append(resets, func(c *conn) bool { return c.node == n })
 			}
 			if p.bySlot[s.slot] == s {
 				p.emit(Door{Slot: s.slot, Node: n, State: state})
 			}
 		}
 	}
+	for _, which := range resets {
+		p.resetAll(s, which)
+	}
 	if s.frozen == 0 && len(s.held) > 0 {
 		held := s.held
 		s.held = nil
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -23,6 +23,7 @@
 	Pipelined int           // commands of one connection that wait for their answers
 	Value     int           // bytes of a value
 	Write     time.Duration // a client that takes no bytes for so long is stuck
+	Owed      int           // bytes of answers to all clients together; past it stuck ones are cut off, 0 is no bound
 
 	// How long a connection with no open request may stay.
 	Silent time.Duration // with nothing said yet, or half a command: it is owed an error by 3 s on the platform
@@ -35,6 +36,8 @@
 	soonest = 5 * time.Millisecond
 	latest  = 100 * time.Millisecond
 	atOnce  = 64
+	stuck   = 250 * time.Millisecond // without taking a byte, while too much is owed to all
+	batch   = 256 << 10              // bytes written at a time, so that what a client takes shows
 )
 
 // Listener accepts clients and serves them until it is closed.
@@ -51,6 +54,7 @@
 	table    *admission.Table
 	conns    map[uint64]*conn
 	lastID   uint64
+	turned   int64 // times that there was no place
 	draining bool
 	done     sync.WaitGroup
 }
@@ -59,7 +63,7 @@
 func New(ln net.Listener, sink flow.Sink, classes []string, limits Limits, count *counters.Counters) *Listener {
 	l := &Listener{ln: ln, sink: sink, classes: map[string]bool{}, limits: limits, count: count,
 		conns: map[uint64]*conn{}, start: time.Now(),
-		table: admission.NewTable(admission.DefaultTable(limits.Conns, limits.Silent, limits.Idle, limits.Crowd))}
+		table: admission.NewTable(policy(limits))}
 	l.room.L = &l.mu
 	for _, c := range classes {
 		l.classes[c] = true
@@ -67,6 +71,12 @@
 	return l
 }
 
+func policy(l Limits) admission.TablePolicy {
+	p := admission.DefaultTable(l.Conns, l.Silent, l.Idle, l.Crowd)
+	p.Bytes, p.Stuck = l.Owed, stuck
+	return p
+}
+
 // Serve accepts until Close.
 func (l *Listener) Serve() error {
 	go l.sweep()
@@ -110,6 +120,9 @@
 // hasRoom tells whether one more connection may be accepted; where not, one that may go is closed for it.
 func (l *Listener) hasRoom() bool {
 	ok, victim, found := l.table.Room(l.now())
+	if !ok {
+		l.turned++
+	}
 	if found {
 		l.count.Evicted.Add(1)
 		l.conns[victim].finish()
@@ -117,6 +130,21 @@
 	return ok
 }
 
+// Use is how many connections there are, and how often one more had to wait for a place.
+func (l *Listener) Use() (used int, refused int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.Used(), l.turned
+}
+
+// SetPlaces changes how many connections there may be.
+func (l *Listener) SetPlaces(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.SetPlaces(n)
+	l.room.Broadcast()
+}
+
 // sweep closes the connections that the table gives up, until the listener is closed. Without it they would stay for
 // good and keep usual clients out.
 func (l *Listener) sweep() {
@@ -136,6 +164,11 @@
 			}
 			l.conns[id].finish()
 		}
+		for id, found := l.table.Stuck(now); found; id, found = l.table.Stuck(now) {
+			l.count.Stuck.Add(1)
+			c := l.conns[id]
+			go c.shut() // it takes the lock, and closes even under a write that waits
+		}
 		wait = latest
 		if at, ok := l.table.Wake(now); ok {
 			wait = min(max(at-now, soonest), latest)
@@ -295,6 +328,7 @@
 			c.complain(err.Error())
 			return
 		}
+		f.Conn = c.id
 		s := &slot{flow: f}
 		f.Reply = func(r flow.Response) { c.reply(s, r) }
 		c.asked(admission.Request)
@@ -381,24 +415,27 @@
 
 // reply fills a slot; the writing goroutine writes it in its turn.
 func (c *conn) reply(s *slot, r flow.Response) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	var out, value []byte
 	switch r.Kind {
 	case flow.Served:
-		s.out = append(strconv.AppendInt([]byte{'$'}, int64(len(r.Value)), 10), "\r\n"...)
-		s.value = r.Value
+		out = append(strconv.AppendInt([]byte{'$'}, int64(len(r.Value)), 10), "\r\n"...)
+		value = r.Value
 	case flow.Refused:
-		s.out = []byte("-BUSY\r\n")
+		out = []byte("-BUSY\r\n")
 		if ms := r.RetryAfter.Milliseconds(); ms > 0 {
-			s.out = redcon.AppendError(nil, "BUSY "+strconv.FormatInt(ms, 10))
+			out = redcon.AppendError(nil, "BUSY "+strconv.FormatInt(ms, 10))
 		}
 	case flow.Failed:
-		s.out = []byte("-ERR failed\r\n")
+		out = []byte("-ERR failed\r\n")
 	case flow.Invalid:
-		s.out = redcon.AppendError(nil, "ERR "+r.Text)
+		out = redcon.AppendError(nil, "ERR "+r.Text)
 	}
-	s.ready = true
+	// The table's lock is never taken under a connection's.
+	c.l.event(func(now time.Duration) { c.l.table.Owes(now, c.id, len(out)+len(value)) })
+	c.mu.Lock()
+	s.out, s.value, s.ready = out, value, true
 	c.ready.Broadcast()
+	c.mu.Unlock()
 }
 
 var crlf = []byte("\r\n")
@@ -414,8 +451,13 @@
 		for !c.closed && (len(c.slots) == 0 || !c.slots[0].ready) && !(c.last && len(c.slots) == 0) {
 			c.ready.Wait()
 		}
-		n := 0
-		for ; n < len(c.slots) && c.slots[n].ready; n++ {
+		n, size, owed := 0, 0, 0
+		for ; n < len(c.slots) && c.slots[n].ready && size < batch; n++ {
+			s := c.slots[n]
+			size += len(s.out) + len(s.value)
+			if s.flow != nil {
+				owed += len(s.out) + len(s.value)
+			}
 			out = append(out, c.slots[n].out)
 			if c.slots[n].value != nil {
 				out = append(out, c.slots[n].value, crlf)
@@ -438,6 +480,9 @@
 		c.slots = append(c.slots[:0:0], c.slots[n:]...)
 		c.ready.Broadcast()
 		c.mu.Unlock()
-		c.l.event(func(now time.Duration) { c.l.table.Answered(now, c.id, n) })
+		c.l.event(func(now time.Duration) {
+			c.l.table.Owes(now, c.id, -owed)
+			c.l.table.Answered(now, c.id, n)
+		})
 	}
 }
--- /dev/null
+++ b/internal/node/intake.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"shelfproxy/brain"
+	"shelfproxy/internal/admission"
+	"shelfproxy/internal/flow"
+)
+
+// How requests wait for the loop.
+const (
+	lineLength = 32      // of one connection; its listener waits past that
+	quantum    = 4       // a connection's turn: four small requests, or one of 12 KiB
+	costUnit   = 4 << 10 // bytes of a value that cost as much as a request
+	atOnce     = 32      // taken before the loop looks at its other queues again
+	waitTarget = 5 * time.Millisecond
+	waitSpan   = 100 * time.Millisecond
+	strainStep = 0.05 // a change of the level that the module is told of
+)
+
+// intake is where listeners put requests, and the loop takes them from connection by connection.
+type intake struct {
+	mu     sync.Mutex
+	room   sync.Cond
+	queue  admission.Intake[arrival]
+	closed bool
+	ready  chan struct{} // holds one word while something waits
+
+	behind admission.Sojourn // the loop's
+	level  float64           // as the module was told
+}
+
+type arrival struct {
+	*flow.Flow
+	at time.Time
+}
+
+func newIntake() intake {
+	return intake{queue: admission.Intake[arrival]{Quantum: quantum, Line: lineLength}, ready: make(chan struct{}, 1),
+		behind: admission.Sojourn{Target: waitTarget, Interval: waitSpan}}
+}
+
+func (in *intake) close() {
+	in.mu.Lock()
+	in.closed = true
+	in.room.Broadcast()
+	in.mu.Unlock()
+}
+
+// Take is called by listeners with a request that was read whole. It waits while the connection has many in line.
+func (n *Node) Take(f *flow.Flow) {
+	in := &n.in
+	in.mu.Lock()
+	for !in.closed && !in.queue.Add(f.Conn, 1+len(f.Value)/costUnit, arrival{f, time.Now()}) {
+		in.room.Wait()
+	}
+	in.mu.Unlock()
+	in.wake()
+}
+
+func (in *intake) wake() {
+	select {
+	case in.ready <- struct{}{}:
+	default:
+	}
+}
+
+// takeSome takes requests from the connections in turn.
+func (n *Node) takeSome() {
+	in := &n.in
+	for i := 0; ; i++ {
+		in.mu.Lock()
+		a, _, ok := in.queue.Next()
+		more := in.queue.Len() > 0
+		in.room.Broadcast()
+		in.mu.Unlock()
+		if !ok {
+			return
+		}
+		n.strain(a.at)
+		if !a.Left { // its client left while it waited here
+			n.take(a.Flow)
+		}
+		n.settle()
+		if i == atOnce && more {
+			in.wake()
+			return
+		}
+	}
+}
+
+// strain follows how long requests wait for the loop and tells the module when it is behind.
+func (n *Node) strain(since time.Time) {
+	in := &n.in
+	now := time.Now()
+	in.behind.Observe(now.Sub(n.start), now.Sub(since))
+	level := in.behind.Level(now.Sub(n.start))
+	if d := level - in.level; d >= strainStep || d <= -strainStep || d != 0 && level == 0 {
+		in.level = level
+		n.tell(brain.Strain{Level: level})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 type Node struct {
 	opt     Options
 	router  *brain.Router
+	in      intake
 	queue   chan func()
 	lists   chan func() // served before the queue: a send decided on after a change must know of it
 	stopped chan struct{}
@@ -98,9 +99,10 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{opt: opt, router: router, queue: make(chan func(), queueLength), lists: make(chan func(), 16),
+	n := &Node{opt: opt, router: router, in: newIntake(), queue: make(chan func(), queueLength), lists: make(chan func(), 16),
 		stopped: make(chan struct{}), idle: make(chan struct{}), start: time.Now(), classes: map[string]int{},
 		flows: map[uint64]*state{}, byFlow: map[*flow.Flow]*state{}, ids: map[string]bool{}, servers: map[string]*server{}}
+	n.in.room.L = &n.in.mu
 	for i, c := range opt.Module.Classes {
 		n.classes[c.Name] = i
 	}
@@ -115,9 +117,6 @@
 	}
 }
 
-// Take is called by listeners with a request that was read whole.
-func (n *Node) Take(f *flow.Flow) { n.post(n.queue, func() { n.take(f) }) }
-
 // Gone is called by listeners when the client of a flow that is owed an answer has left.
 func (n *Node) Gone(f *flow.Flow) { n.post(n.queue, func() { n.gone(f) }) }
 
@@ -135,6 +134,7 @@
 
 // Run is the loop. It returns when stop is closed.
 func (n *Node) Run(stop <-chan struct{}) {
+	defer n.in.close()
 	defer close(n.stopped)
 	n.list(n.opt.Known, brain.Cached)
 	timer := time.NewTimer(0)
@@ -148,6 +148,8 @@
 				f()
 			case f := <-n.queue:
 				f()
+			case <-n.in.ready:
+				n.takeSome()
 			case <-timer.C:
 			case <-stop:
 				if n.stopWatch != nil {
@@ -259,6 +261,7 @@
 }
 
 func (n *Node) gone(f *flow.Flow) {
+	f.Left = true
 	if s := n.byFlow[f]; s != nil && !s.answered {
 		n.opt.Count.Gone.Add(1)
 		n.over(s)
