--- a/brain/admission_test.go
+++ b/brain/admission_test.go
@@ -104,3 +104,36 @@
 		t.Errorf("%d attempts for 400 requests that all fail", sends)
 	}
 }
+
+// A read with less time left than the quickest answers of late took is refused at once; one with a little more is not,
+// and a pause of the servers does not lift the bar for long.
+func TestNoTimeLeftIsRefusedAtTheDoor(t *testing.T) {
+	b := newBench(t, testSettings(), "s1", "s2")
+	left := func(d time.Duration) bool {
+		id, actions := b.ask("low", fmt.Sprint("d", b.nextID), func(q *Request) { q.Deadline = b.now + d })
+		refused := len(find[Refuse](actions)) > 0
+		if !refused {
+			b.end(id, Miss, ms)
+			b.end(id, OK, ms)
+		}
+		return refused
+	}
+	if left(2 * ms) {
+		t.Error("refused before anything is known")
+	}
+	for range 30 {
+		id, _ := b.ask("high", fmt.Sprint("o", b.nextID), nil)
+		b.now += 20 * ms
+		b.end(id, OK, 20*ms)
+	}
+	if !left(10*ms) || left(60*ms) {
+		t.Error("10 ms left must be refused, 60 ms not, where the quickest answers take 20 ms")
+	}
+	for range 3 {
+		id, _ := b.ask("high", fmt.Sprint("o", b.nextID), nil)
+		b.end(id, OK, 500*ms)
+	}
+	if left(60 * ms) {
+		t.Error("a few slow answers count as the quickest")
+	}
+}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -280,8 +280,10 @@
 		q.bucket = bulk
 	}
 	r.budgets[c].First(r.now)
-	// While the node is behind with its own work a share of what may be refused is, before it costs anything.
-	if r.strain > 0 && q.bucket != critical && r.lot(q.bucket, r.strain*float64(q.bucket)) {
+	// While the node is behind with its own work a share of what may be refused is, before it costs
+	// anything. What has less time left than the quickest answers of late took would only fail later.
+	behind := r.strain > 0 && q.bucket != critical && r.lot(q.bucket, r.strain*float64(q.bucket))
+	if behind || !e.Write && e.Deadline-r.now < r.quickest {
 		r.refuse(q)
 		return
 	}
@@ -473,6 +475,9 @@
 	case OK, Errored, Rejected:
 		s.gauge.observe(r.now, e.Took, e.Reason != OK)
 		if e.Reason == OK && s != r.origin {
+			if r.quickest += r.quickest / creep; r.quickest == 0 || e.Took < r.quickest {
+				r.quickest = e.Took
+			}
 			r.served += r.one
 			if s.doubt == 1 { // so many hits and no miss: its memory is whole, it was only cut off
 				s.cold = s.before
--- a/brain/router.go
+++ b/brain/router.go
@@ -118,6 +118,7 @@
 	all, one  float64                      // requests, and what one counts now; see countKey
 	served    float64                      // answers of cache servers, counted like all
 	allAt     Time
+	quickest  time.Duration      // answers of cache servers of late; 0 before the first
 	keys      map[string]float64 // requests by key
 	sweepAt   Time               // when forgotten keys are dropped next
 	asking    bool
