Send loads on a schedule drawn ahead, with shapes, hot keys and traces: shelflab load

Need: a deadline rush can't be rehearsed with tools that send the next request only after the last answer, as they hide queueing.

Change: internal/lab/load draws what is due when, without clock or I/O: steady, ramp, surge, sine and burst add up, heats turn a share to a few keys that may move, a shape may bring one class alone; each kind of draw has a stream of its own. internal/lab/clients sends it, counts latency from when each request was due and service from when it was sent, keeps a time line, and judges itself: late sends, requests not sent, processor and collector make a run not valid (exit 5). It can send a closed loop for comparison. internal/lab/trace keeps loads in an append-only file with CRC32C and recovery of a torn tail; shelflab trace has info, cut, scale, anonymise, export and import. Two tests more for the emulator: a change of the list crossing a request, and a frozen process that stays silent.

--- a/cmd/shelflab/main.go
+++ b/cmd/shelflab/main.go
@@ -25,6 +25,7 @@
 	exitScenario    = 2   // the scenario is no good
 	exitRules       = 3   // the run was carried out and a rule was broken
 	exitPort        = 4   // a port that was asked for is taken
+	exitInvalid     = 5   // the load generator fell behind: its figures are not to be believed
 	exitUsage       = 64  // the command line is no good
 	exitInterrupted = 130 // ended by Ctrl-C, everything stopped
 )
@@ -77,17 +78,17 @@
 			"between them and what goes wrong, all on loopback and checked against the rules of the service.\n" +
 			"Scenarios are files, or names of those that are shipped: " + strings.Join(scenarios.Names(), ", ") + ".\n\n" +
 			"Exit codes: 0 all well, 1 the run failed, 2 the scenario is no good, 3 a rule was broken,\n" +
-			"4 a port is taken, 64 the command line is no good, 130 interrupted.",
+			"4 a port is taken, 5 the generator fell behind, 64 the command line is no good, 130 interrupted.",
 		Example: "  shelflab demo\n  shelflab demo rush --seed 7\n  shelflab check my.toml\n" +
 			"  shelflab emulate deploy --dir run --base-port 7000",
 		Version: version(), SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand(), emulateCommand(), checkCommand(), listCommand())
+	root.AddCommand(demoCommand(), emulateCommand(), loadCommand(), traceCommand(), checkCommand(), listCommand())
 	return root
 }
 
-// load reads a scenario by the name of one that is shipped, or from a file.
-func load(name string) (*scenario.Scenario, error) {
+// readScenario reads a scenario by the name of one that is shipped, or from a file.
+func readScenario(name string) (*scenario.Scenario, error) {
 	if text, ok := scenarios.Text(name); ok {
 		s, err := scenario.Parse(name+".toml", text)
 		return s, coded(exitScenario, err)
@@ -111,7 +112,7 @@
 	return &cobra.Command{Use: "list", Short: "List the scenarios that are shipped", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			for _, n := range scenarios.Names() {
-				s, err := load(n)
+				s, err := readScenario(n)
 				if err != nil {
 					return err
 				}
@@ -127,14 +128,14 @@
 		Example: "  shelflab check my.toml\n  shelflab check rush --seed 7", Args: cobra.MinimumNArgs(1), ValidArgsFunction: names,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			for _, a := range args {
-				s, err := load(a)
+				s, err := readScenario(a)
 				if err != nil {
 					return err
 				}
 				p := s.Draw(seed)
 				w := cmd.OutOrStdout()
-				fmt.Fprintf(w, "%s is good: %s\nseed %d draws %d nodes, %d boxes, %.0f requests a second for %s\n", a, s.About, seed,
-					len(p.Spec.Nodes), len(p.Spec.Boxes), p.Rate, p.Length)
+				fmt.Fprintf(w, "%s is good: %s\nseed %d draws %d nodes, %d boxes, up to %.0f requests a second for %s\n", a, s.About, seed,
+					len(p.Spec.Nodes), len(p.Spec.Boxes), p.Peak(), p.Length)
 				for _, f := range p.Spec.Faults {
 					fmt.Fprintf(w, "  %6.1f s  %s for %.1f s\n", f.At.Seconds(), f.Kind, f.For.Seconds())
 				}
--- a/cmd/shelflab/run.go
+++ b/cmd/shelflab/run.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, logs.Options{}, fmt.Errorf("--log-level: %w", err)
 	}
-	sc, err := load(name)
+	sc, err := readScenario(name)
 	if err != nil {
 		return nil, logs.Options{}, err
 	}
@@ -49,7 +49,7 @@
 	}
 	p := sc.Draw(s.seed)
 	if s.length > 0 {
-		p.Length = s.length
+		p.SetLength(s.length)
 	}
 	return p, logs.Options{Level: level, Format: s.format}, nil
 }
--- a/internal/lab/clients/clients.go
+++ b/internal/lab/clients/clients.go
@@ -1,4 +1,4 @@
-// Package clients is a light load of the lab: requests come on a schedule drawn ahead, whether or not earlier ones
+// Package clients sends a load: requests come on a schedule drawn ahead, whether or not earlier ones
 // have been answered, and latency counts from the time at which each was due. It looks at every answer as a client
 // would and tells the rules what it saw.
 package clients
@@ -20,13 +20,13 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/tidwall/redcon"
 
-	"shelfproxy/internal/lab/emulate"
-	"shelfproxy/internal/lab/model"
+	"shelfproxy/internal/lab/load"
 	"shelfproxy/internal/lab/rules"
 	"shelfproxy/internal/lab/scenario"
 )
 
-// Node is a node as clients see it. Each of its functions may be called at any time.
+// Node is a node as clients see it. Each of its functions may be called at any time; one that is nil says that nothing
+// is ever ended.
 type Node struct {
 	Addr string
 	// Process returns a function for the process that is there now: whether the rig has told it to end, so that its
@@ -36,115 +36,171 @@
 	Used func() bool
 }
 
+// Watcher is told what clients see; its methods must not wait for long.
+type Watcher interface {
+	// Taken: the last byte of a request is about to be written to a node; wait is how long its client waits from now.
+	Taken(id, class string, node int, wait time.Duration)
+	// Answered: the last byte of a final answer was read.
+	Answered(id string, kind rules.Final, value []byte)
+	// Ended: the node ended the connection with the answer owed, and may, if unread, never have read the request.
+	Ended(id string, unread bool)
+}
+
+// Options say how a load is sent.
+type Options struct {
+	Nodes   []Node
+	Watcher Watcher // may be nil
+	// Closed, if above 0, sends the same requests in a closed loop instead: so many clients, each of which sends its
+	// next request when it has the last answer. It is there to show what that hides.
+	Closed int
+	// Source, if set, gives out what is due in place of the plan's schedule; classes and nodes are the plan's.
+	Source func() (load.Arrival, bool)
+	// Record, if set, gets every request as it is taken in hand.
+	Record func(load.Arrival)
+	// Most bounds the requests that are out at a time; one more makes the run invalid. 0 is 50,000.
+	Most int
+}
+
 // Class is what a class of requests came to.
 type Class struct {
 	Name                                string
 	Due, Served, InAim, Refused, Failed int64
-	Lost, Unsent                        int64                   // without an answer; for which no node could be reached
-	Latency                             *hdrhistogram.Histogram // microseconds, of those served, from when they were due
+	Lost, Unsent                        int64 // without an answer; for which no node could be reached
+	// Latency is of those served, in microseconds from when they were due; Service from when they were sent, which
+	// leaves out what they waited for their turn.
+	Latency, Service *hdrhistogram.Histogram
 }
 
 // Load is a load that runs, or has run.
 type Load struct {
 	plan  *scenario.Plan
-	em    *emulate.Emulator
-	nodes []Node
+	opt   Options
 	start time.Time
 	wg    sync.WaitGroup
 
 	mu      sync.Mutex
 	classes []Class
-	late    *hdrhistogram.Histogram // microseconds from when a request was due to when it was sent on
-	idle    [][]*conn               // by node; the one used last is at the end
+	gen     generator
+	idle    [][]*conn // by node; the one used last is at the end
 }
 
 // New makes a load of a plan.
-func New(plan *scenario.Plan, em *emulate.Emulator, nodes []Node) *Load {
-	l := &Load{plan: plan, em: em, nodes: nodes, late: histogram(), idle: make([][]*conn, len(nodes))}
+func New(plan *scenario.Plan, opt Options) *Load {
+	if opt.Most == 0 {
+		opt.Most = 50000
+	}
+	l := &Load{plan: plan, opt: opt, idle: make([][]*conn, len(opt.Nodes)), gen: newGenerator(plan.Length)}
 	for _, c := range plan.Class {
-		l.classes = append(l.classes, Class{Name: c.Name, Latency: histogram()})
+		l.classes = append(l.classes, Class{Name: c.Name, Latency: histogram(), Service: histogram()})
 	}
 	return l
 }
 
-func histogram() *hdrhistogram.Histogram {
-	return hdrhistogram.New(1, int64(2*time.Minute/time.Microsecond), 2)
+// histogram is of microseconds, up to two minutes; what is longer counts as that.
+func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, longest.Microseconds(), 2) }
+
+const longest = 2 * time.Minute
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	h.RecordValue(min(max(1, d.Microseconds()), longest.Microseconds()))
 }
 
 // Run sends the load until its end or that of the context, and returns when every request has an answer or its time
 // is over.
 func (l *Load) Run(ctx context.Context) {
 	l.start = time.Now()
-	r := model.Stream(l.plan.Seed, "clients")
-	zipf := rand.NewZipf(r, l.plan.Skew, 1, uint64(max(0, l.plan.Keys-1)))
+	l.gen.begin()
+	next := l.requests()
+	if l.opt.Closed > 0 {
+		l.closedLoop(ctx, next)
+	} else {
+		l.openLoop(ctx, next)
+	}
+	l.wg.Wait()
+	l.gen.end()
+	l.closeIdle()
+}
+
+// requests gives out the requests of the schedule.
+func (l *Load) requests() func() (request, bool) {
+	source := l.opt.Source
+	if source == nil {
+		source = load.New(l.plan.Load).Next
+	}
 	run := strconv.FormatUint(rand.Uint64()>>32, 16)
+	n := 0
+	return func() (request, bool) {
+		a, ok := source()
+		n++
+		if ok && l.opt.Record != nil {
+			l.opt.Record(a)
+		}
+		return request{Arrival: a, id: fmt.Sprintf("%s-%d", run, n)}, ok
+	}
+}
+
+// openLoop sends each request when it is due, whatever became of those before.
+func (l *Load) openLoop(ctx context.Context, next func() (request, bool)) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for at, n := time.Duration(0), 0; l.plan.Rate > 0; n++ {
-		at += time.Duration(r.ExpFloat64() / l.plan.Rate * float64(time.Second)) // Poisson arrivals
-		q := request{due: at, class: l.drawClass(r), node: l.drawNode(r), id: fmt.Sprintf("%s-%d", run, n),
-			key: "k" + strconv.FormatUint(zipf.Uint64(), 36), once: strconv.FormatUint(r.Uint64(), 16)}
-		if c := l.plan.Class[q.class]; c.Write {
-			q.size = c.Bytes.Int(r)
-		}
-		if at > l.plan.Length {
-			break
-		}
-		timer.Reset(time.Until(l.start.Add(at)))
+	for q, ok := next(); ok; q, ok = next() {
+		timer.Reset(time.Until(l.start.Add(q.Due)))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
-			l.wg.Wait()
-			l.closeIdle()
 			return
 		}
-		l.wg.Add(1)
-		go func() {
-			defer l.wg.Done()
+		if !l.gen.sends(time.Since(l.start)-q.Due, l.opt.Most) {
+			l.count(q, func(c *Class) { c.Due++; c.Unsent++ })
+			continue
+		}
+		l.wg.Go(func() {
+			defer l.gen.done()
 			l.serve(q)
-		}()
+		})
 	}
-	l.wg.Wait()
-	l.closeIdle()
-}
-
-type request struct {
-	due         time.Duration
-	class, node int
-	id, key     string
-	once        string
-	size        int
 }
 
-func (l *Load) drawClass(r *rand.Rand) int {
-	total := 0.0
-	for _, c := range l.plan.Class {
-		total += c.Share
+// closedLoop sends each request when the client before has its answer.
+func (l *Load) closedLoop(ctx context.Context, next func() (request, bool)) {
+	if l.plan.Peak() <= 0 {
+		return
 	}
-	at := r.Float64() * total
-	for i, c := range l.plan.Class {
-		if at -= c.Share; at < 0 {
-			return i
-		}
+	var mu sync.Mutex
+	end := l.start.Add(l.plan.Length)
+	for range l.opt.Closed {
+		l.wg.Go(func() {
+			for ctx.Err() == nil && time.Now().Before(end) {
+				mu.Lock()
+				q, ok := next()
+				for !ok && l.opt.Source == nil { // a loop that is faster than the schedule begins another
+					l.plan.Load.Seed++
+					next = l.requests()
+					q, ok = next()
+				}
+				mu.Unlock()
+				if !ok {
+					return
+				}
+				q.Due = time.Since(l.start) // that is the point: it is due when there is time for it
+				l.gen.sends(0, l.opt.Most)
+				l.serve(q)
+				l.gen.done()
+			}
+		})
 	}
-	return len(l.plan.Class) - 1
 }
 
-func (l *Load) drawNode(r *rand.Rand) int {
-	at := r.Float64()
-	for i, s := range l.plan.Shares {
-		if at -= s; at < 0 {
-			return i
-		}
-	}
-	return len(l.nodes) - 1
+type request struct {
+	load.Arrival
+	id string
 }
 
 // pick is the node that the front gives a client: the one drawn, or the next that is in use.
 func (l *Load) pick(drawn int) (int, bool) {
-	for i := range l.nodes {
-		n := (drawn + i) % len(l.nodes)
-		if l.nodes[n].Used() {
+	for i := range l.opt.Nodes {
+		n := (drawn + i) % len(l.opt.Nodes)
+		if used := l.opt.Nodes[n].Used; used == nil || used() {
 			return n, true
 		}
 	}
@@ -176,10 +232,7 @@
 const crossing = time.Second
 
 func (l *Load) serve(q request) {
-	l.mu.Lock()
-	l.classes[q.class].Due++
-	l.late.RecordValue(max(1, (time.Since(l.start) - q.due).Microseconds()))
-	l.mu.Unlock()
+	l.count(q, func(c *Class) { c.Due++ })
 	for i := range 3 {
 		if i > 0 {
 			q.id += "r" // every try has an id of its own
@@ -193,22 +246,22 @@
 
 // try sends a request once. It is false where the node never read it and it may go out again.
 func (l *Load) try(q request) (over bool) {
-	n, ok := l.pick(q.node)
+	n, ok := l.pick(q.Node)
 	if !ok {
 		time.Sleep(50 * time.Millisecond)
 		return false
 	}
-	class := l.plan.Class[q.class]
+	class := l.plan.Class[q.Class]
 	c, err := l.conn(n)
 	if err != nil {
 		time.Sleep(50 * time.Millisecond) // a front takes a moment to notice
 		return false
 	}
+	if w := l.opt.Watcher; w != nil {
+		w.Taken(q.id, class.Name, n, class.Deadline.D())
+	}
 	sent := time.Now()
-	deadline := sent.Add(class.Deadline.D())
-	due := l.em.Now() + class.Deadline.D()
-	l.em.Tell(func(now time.Duration, check *rules.Checker) { check.Taken(now, q.id, class.Name, n, due) })
-	c.SetDeadline(deadline.Add(l.plan.Rules.Grace.D() + 500*time.Millisecond))
+	c.SetDeadline(sent.Add(class.Deadline.D() + l.plan.Rules.Grace.D() + 500*time.Millisecond))
 	_, err = c.Write(q.words(class))
 	var kind rules.Final
 	var value []byte
@@ -217,41 +270,45 @@
 	}
 	if err != nil {
 		c.Close()
-		return l.ended(q, n, c, sent, err)
+		return l.ended(q, c, sent, err)
+	}
+	if w := l.opt.Watcher; w != nil {
+		w.Answered(q.id, kind, value)
 	}
-	madeFor := emulate.MadeFor(value)
-	l.em.Tell(func(now time.Duration, check *rules.Checker) { check.Answered(now, q.id, kind, madeFor) })
 	c.used = time.Now()
+	took, service := c.used.Sub(l.start)-q.Due, c.used.Sub(sent)
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.idle[n] = append(l.idle[n], c)
-	l.mu.Unlock()
-	took := time.Since(l.start) - q.due
-	l.count(q, func(k *Class) {
-		switch kind {
-		case rules.Served:
-			k.Served++
-			if took <= class.Aim.D() {
-				k.InAim++
-			}
-			k.Latency.RecordValue(max(1, took.Microseconds()))
-		case rules.Refused:
-			k.Refused++
-		case rules.Failed:
-			k.Failed++
+	k := &l.classes[q.Class]
+	switch kind {
+	case rules.Served:
+		k.Served++
+		if took <= class.Aim.D() {
+			k.InAim++
 		}
-	})
+		record(k.Latency, took)
+		record(k.Service, service)
+		l.gen.served(q.Due, took)
+	case rules.Refused:
+		k.Refused++
+	case rules.Failed:
+		k.Failed++
+	}
 	return true
 }
 
 // ended deals with a connection that ended, or stayed silent, with an answer owed on it.
-func (l *Load) ended(q request, n int, c *conn, sent time.Time, err error) (over bool) {
+func (l *Load) ended(q request, c *conn, sent time.Time, err error) (over bool) {
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() { // the rules find it at the deadline
 		l.count(q, func(k *Class) { k.Lost++ })
 		return true
 	}
 	unread := !c.used.IsZero() && sent.Sub(c.used) > crossing || c.stopping()
-	l.em.Tell(func(now time.Duration, check *rules.Checker) { check.Ended(now, q.id, unread) })
+	if w := l.opt.Watcher; w != nil {
+		w.Ended(q.id, unread)
+	}
 	if unread {
 		return false
 	}
@@ -262,7 +319,7 @@
 func (l *Load) count(q request, f func(*Class)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	f(&l.classes[q.class])
+	f(&l.classes[q.Class])
 }
 
 // conn takes the connection to a node that was used last, or opens one.
@@ -282,8 +339,11 @@
 		}
 		c.Close()
 	}
-	stopping := l.nodes[n].Process()
-	nc, err := net.DialTimeout("tcp", l.nodes[n].Addr, time.Second)
+	stopping := func() bool { return false }
+	if p := l.opt.Nodes[n].Process; p != nil {
+		stopping = p()
+	}
+	nc, err := net.DialTimeout("tcp", l.opt.Nodes[n].Addr, time.Second)
 	if err != nil {
 		return nil, err
 	}
@@ -304,16 +364,16 @@
 // words is the command of a request.
 func (q request) words(class scenario.Class) []byte {
 	extras := fmt.Sprintf("c=%s,d=%d", class.Name, class.Deadline.D().Milliseconds())
-	if class.Effect == "deduplicated" {
-		extras += ",k=" + q.once
+	if q.Once != "" {
+		extras += ",k=" + q.Once
 	}
 	b := redcon.AppendArray(nil, map[bool]int{false: 4, true: 5}[class.Write])
 	b = redcon.AppendBulkString(b, map[bool]string{false: "CACHE.GET", true: "CACHE.SET"}[class.Write])
-	b = redcon.AppendBulkString(b, q.key)
+	b = redcon.AppendBulkString(b, q.Key)
 	b = redcon.AppendBulkString(b, q.id)
 	b = redcon.AppendBulkString(b, extras)
 	if class.Write {
-		b = redcon.AppendBulkString(b, strings.Repeat("v", q.size))
+		b = redcon.AppendBulkString(b, strings.Repeat("v", q.Size))
 	}
 	return b
 }
@@ -357,13 +417,20 @@
 	return rules.Failed, nil, nil
 }
 
-// Classes is what the load came to so far, and how late requests were sent.
-func (l *Load) Classes() (classes []Class, late *hdrhistogram.Histogram) {
+// Classes is what the load came to so far.
+func (l *Load) Classes() (classes []Class) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.classes {
-		c.Latency = hdrhistogram.Import(c.Latency.Export())
+		c.Latency, c.Service = hdrhistogram.Import(c.Latency.Export()), hdrhistogram.Import(c.Service.Export())
 		classes = append(classes, c)
 	}
-	return classes, hdrhistogram.Import(l.late.Export())
+	return classes
+}
+
+// Generator is how the generator itself did.
+func (l *Load) Generator() Generator {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.gen.report()
 }
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
 
 	"shelfproxy/internal/lab/clients"
@@ -37,6 +36,23 @@
 	NodeArgs []string
 }
 
+// watcher tells the rules of the emulator what clients see.
+type watcher struct{ em *emulate.Emulator }
+
+func (w watcher) Taken(id, class string, node int, wait time.Duration) {
+	due := w.em.Now() + wait
+	w.em.Tell(func(now time.Duration, check *rules.Checker) { check.Taken(now, id, class, node, due) })
+}
+
+func (w watcher) Answered(id string, kind rules.Final, value []byte) {
+	madeFor := emulate.MadeFor(value)
+	w.em.Tell(func(now time.Duration, check *rules.Checker) { check.Answered(now, id, kind, madeFor) })
+}
+
+func (w watcher) Ended(id string, unread bool) {
+	w.em.Tell(func(now time.Duration, check *rules.Checker) { check.Ended(now, id, unread) })
+}
+
 // NodeResult is what a node used.
 type NodeResult struct {
 	Name, Zone string
@@ -48,7 +64,7 @@
 	Plan        *scenario.Plan
 	Interrupted bool
 	Classes     []clients.Class
-	Late        *hdrhistogram.Histogram // of the clients' sends, microseconds
+	Generator   clients.Generator
 	Summary     emulate.Summary
 	Nodes       []NodeResult
 	Took        time.Duration
@@ -128,7 +144,7 @@
 	for _, p := range places {
 		front = append(front, clients.Node{Addr: p.Listen, Process: func() func() bool { return p.process().Stopping }, Used: p.used.Load})
 	}
-	load := clients.New(opt.Plan, em, front)
+	load := clients.New(opt.Plan, clients.Options{Nodes: front, Watcher: watcher{em}})
 	var over sync.WaitGroup
 	done := make(chan struct{})
 	over.Go(func() { watch(opt, em, load, done) })
@@ -152,7 +168,7 @@
 	r.Ends = append(r.Ends, stopAll(places)...)
 	// What was taken in the last moment shows by its deadline, when the clients have given up on it.
 	em.Do(func(now time.Duration, _ *model.Portal, check *rules.Checker) { check.Tick(now) })
-	r.Classes, r.Late = load.Classes()
+	r.Classes, r.Generator = load.Classes(), load.Generator()
 	r.Summary = em.Summary()
 	r.Took = time.Since(began)
 	return r, nil
--- a/internal/lab/demo/show.go
+++ b/internal/lab/demo/show.go
@@ -7,7 +7,6 @@
 	"syscall"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/olekukonko/tablewriter"
 
 	"shelfproxy/internal/lab/clients"
@@ -37,7 +36,7 @@
 		}) {
 			return
 		}
-		classes, _ := load.Classes()
+		classes := load.Classes()
 		line := headline(now, opt.Plan.Length, classes, servers, broken)
 		if !opt.Live {
 			fmt.Fprintln(opt.Out, line)
@@ -103,17 +102,11 @@
 	if r.Interrupted {
 		fmt.Fprintln(w, "interrupted; this is what was seen until then")
 	}
-	fmt.Fprintf(w, "\nscenario %s, seed %d: %d nodes, %d boxes, %.0f requests a second for %s\n", r.Plan.Name, r.Plan.Seed, len(r.Plan.Spec.Nodes),
-		len(r.Plan.Spec.Boxes), r.Plan.Rate, r.Plan.Length)
-	t := tablewriter.NewWriter(w)
-	t.Header("class", "due", "served", "in aim", "refused", "failed", "lost", "p50 ms", "p90 ms", "p99 ms", "max ms")
-	for _, c := range r.Classes {
-		t.Append(c.Name, c.Due, c.Served, c.InAim, c.Refused, c.Failed, c.Lost+c.Unsent, quantile(c.Latency, 50), quantile(c.Latency, 90),
-			quantile(c.Latency, 99), quantile(c.Latency, 100))
-	}
-	t.Render()
+	fmt.Fprintf(w, "\nscenario %s, seed %d: %d nodes, %d boxes, up to %.0f requests a second for %s\n", r.Plan.Name, r.Plan.Seed, len(r.Plan.Spec.Nodes),
+		len(r.Plan.Spec.Boxes), r.Plan.Peak(), r.Plan.Length)
+	clients.WriteClasses(w, r.Classes)
 	taken := max(1, r.Summary.Rules.Taken)
-	t = tablewriter.NewWriter(w)
+	t := tablewriter.NewWriter(w)
 	t.Header("node", "room", "CPU s", "memory MB", "descriptors")
 	cpu := time.Duration(0)
 	for _, n := range r.Nodes {
@@ -125,7 +118,10 @@
 	fmt.Fprintf(w, "nodes: %.2f ms of processor a request, %.2f attempts a request, %d probes, %d calls of discovery\n",
 		cpu.Seconds()*1000/float64(taken), float64(s.Requests)/float64(taken), s.Probes, s.Calls)
 	fmt.Fprintf(w, "rig: sends late by p99 %s ms, max %s ms; emulator late by p99 %.1f ms, max %.1f ms; event log %016x\n",
-		quantile(r.Late, 99), quantile(r.Late, 100), s.LateP99.Seconds()*1000, s.LateMax.Seconds()*1000, s.Events)
+		clients.Millis(r.Generator.Lag, 99), clients.Millis(r.Generator.Lag, 100), s.LateP99.Seconds()*1000, s.LateMax.Seconds()*1000, s.Events)
+	for _, why := range r.Generator.Invalid() {
+		fmt.Fprintln(w, "the latencies are not to be believed:", why)
+	}
 	for _, err := range r.Ends {
 		fmt.Fprintln(w, "broken:", err)
 	}
@@ -139,11 +135,3 @@
 		fmt.Fprintf(w, "rules broken: %d\n", len(s.Broken)+len(r.Ends))
 	}
 }
-
-// quantile is in milliseconds, from a histogram in microseconds.
-func quantile(h *hdrhistogram.Histogram, q float64) string {
-	if h.TotalCount() == 0 {
-		return "-"
-	}
-	return fmt.Sprintf("%.1f", float64(h.ValueAtQuantile(q))/1000)
-}
--- a/internal/lab/emulate/emulate_test.go
+++ b/internal/lab/emulate/emulate_test.go
@@ -273,6 +273,29 @@
 	})
 }
 
+// A frozen process keeps its connections open and silent, takes new ones, and answers all that came once it goes on.
+func TestFreezeIsSilent(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, fast+`
+[[fault]]
+kind = "freeze"
+at = "0s"
+for = "4s"
+boxes = ["box-0"]
+`)
+	a, b := r.mustDial(1), r.mustDial(1)
+	a.send("PING")
+	b.send("CACHE.GET", "k", "id1", "c=read,d=2900")
+	a.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+	if _, err := a.rd.Peek(1); err == nil || !err.(net.Error).Timeout() {
+		t.Errorf("while it is frozen: %v, want silence", err)
+	}
+	a.SetReadDeadline(time.Now().Add(patience))
+	if got := a.lines(1) + " " + b.lines(4); got != "+PONG *3 $-1 $4 miss" {
+		t.Errorf("as it goes on: %q", got)
+	}
+}
+
 // The watch tells a box that was replaced at the address of one that has gone, and the rules see work that a node
 // still sends to it.
 func TestReplacedAtItsAddressAndWatched(t *testing.T) {
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -372,3 +372,26 @@
 		}
 	}
 }
+
+// A request that is at a box when the list begins to say that it drains is finished and answered; one that comes then
+// is turned away.
+func TestChangeOfTheListCrossesARequest(t *testing.T) {
+	sp := spec(1, 1, Fault{Kind: Drain, At: time.Second, For: 5 * time.Second})
+	kind := *standard
+	kind.MissWork, kind.ErrorRate = 1, 0
+	sp.Boxes[0].Kind = &kind
+	sp.Classes[0] = ClassSpec{"read", 800 * time.Millisecond, 800 * time.Millisecond}
+	sp.Roster.LagLeast, sp.Roster.LagMost = 10*time.Millisecond, 10*time.Millisecond
+	d := drive(sp)
+	d.until(900 * time.Millisecond)
+	d.send(1, "1", "read", false)
+	d.until(1100 * time.Millisecond)
+	if e := d.entries()["box-0"]; e.State != Draining || len(d.answers) != 0 {
+		t.Fatalf("%+v with %d answers while the request is at work", e, len(d.answers))
+	}
+	d.send(1, "2", "read", false)
+	d.until(4 * time.Second)
+	if len(d.answers) < 2 || d.answers[0].Request != "2" || d.answers[0].Outcome != Turned || d.answers[1].Request != "1" || d.answers[1].Outcome != Miss {
+		t.Errorf("answers %+v", d.answers)
+	}
+}
--- a/internal/lab/scenario/plan.go
+++ b/internal/lab/scenario/plan.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"shelfproxy/internal/lab/load"
 	"shelfproxy/internal/lab/model"
 )
 
@@ -20,20 +21,14 @@
 	Rules  Rules
 	Class  []Class
 	Zones  []string
-	Shares []float64 // of the load, by node
-	Keys   int
-	Skew   float64
-	Rate   float64
-	Conns  int
+	Load   load.Spec
 }
 
 // Draw draws the figures. Each part has a stream of its own, so adding a fault does not move the boxes.
 func (s *Scenario) Draw(seed uint64) *Plan {
 	stream := func(part string) *rand.Rand { return model.Stream(seed, "scenario/"+part) }
-	p := &Plan{Name: s.Name, Seed: seed, Length: s.Length.D(), Nodes: s.Nodes, Rules: s.Rules, Class: s.Class, Zones: s.Zones.Names,
-		Conns: s.Load.Connections}
-	r := stream("load")
-	p.Rate, p.Keys, p.Skew = s.Load.Rate.Draw(r), s.Keys.Count.Int(r), s.Keys.Skew.Draw(r)
+	p := &Plan{Name: s.Name, Seed: seed, Length: s.Length.D(), Nodes: s.Nodes, Rules: s.Rules, Class: s.Class, Zones: s.Zones.Names}
+	s.drawLoad(p, stream)
 
 	p.Spec = model.Spec{Seed: seed, OriginZone: s.Origin.Zone,
 		Roster: model.RosterSpec{LagLeast: s.Roster.Lag.Least, LagMost: s.Roster.Lag.Most, Call: s.Roster.Call.D(),
@@ -62,7 +57,7 @@
 		p.Spec.Nodes = append(p.Spec.Nodes, model.NodeSpec{Name: fmt.Sprintf("n%d", i), Zone: zone})
 		in[zone]++
 	}
-	p.Shares = make([]float64, n)
+	p.Load.Shares = make([]float64, n)
 	for z, zone := range s.Zones.Names {
 		share := 1 / float64(len(s.Zones.Names))
 		if len(s.Zones.Traffic) > 0 {
@@ -70,9 +65,9 @@
 		}
 		for i, node := range p.Spec.Nodes {
 			if in[zone] == 0 {
-				p.Shares[i] += share / float64(n)
+				p.Load.Shares[i] += share / float64(n)
 			} else if node.Zone == zone {
-				p.Shares[i] += share / float64(in[zone])
+				p.Load.Shares[i] += share / float64(in[zone])
 			}
 		}
 	}
@@ -83,6 +78,40 @@
 	return p
 }
 
+// drawLoad draws what clients ask for.
+func (s *Scenario) drawLoad(p *Plan, stream func(string) *rand.Rand) {
+	r := stream("load")
+	p.Load = load.Spec{Seed: p.Seed, Length: p.Length, Uniform: s.Load.Uniform,
+		Shapes: []load.Shape{{Kind: load.Steady, Rate: s.Load.Rate.Draw(r)}}, Keys: s.Keys.Count.Int(r), Skew: s.Keys.Skew.Draw(r),
+		Offset: s.Keys.Offset.Draw(r), Drift: s.Keys.Drift.D()}
+	for i, sh := range s.Load.Shape {
+		r := stream(fmt.Sprintf("load/shape/%d", i))
+		kind, _ := load.ShapeOf(sh.Kind) // checked as it was read
+		p.Load.Shapes = append(p.Load.Shapes, load.Shape{Kind: kind, Rate: sh.Rate.Draw(r), At: sh.At.Draw(r), For: sh.For.Draw(r),
+			Period: sh.Period.D(), Class: sh.Class})
+	}
+	for i, h := range s.Load.Heat {
+		r := stream(fmt.Sprintf("load/heat/%d", i))
+		p.Load.Heats = append(p.Load.Heats, load.Heat{Share: h.Share.Draw(r), Keys: h.Keys, At: h.At.Draw(r), For: h.For.Draw(r),
+			Move: h.Move.D()})
+	}
+	for _, c := range s.Class {
+		p.Load.Classes = append(p.Load.Classes, load.Class{Name: c.Name, Share: c.Share, Keyed: c.Effect == "deduplicated",
+			BytesLeast: int(c.Bytes.Least), BytesMost: int(c.Bytes.Most)})
+	}
+}
+
+// SetLength gives the load another length.
+func (p *Plan) SetLength(d time.Duration) { p.Length, p.Load.Length = d, d }
+
+// Peak is the highest rate that there may be, in requests a second.
+func (p *Plan) Peak() (rate float64) {
+	for _, s := range p.Load.Shapes {
+		rate += s.Rate
+	}
+	return rate
+}
+
 // drawBoxes draws the kinds, then the boxes: as many of each kind and in each zone as their shares say.
 func (s *Scenario) drawBoxes(p *Plan, stream func(string) *rand.Rand) {
 	kinds := make([]*model.BoxKind, len(s.Kind))
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"shelfproxy/internal/lab/load"
 	"shelfproxy/internal/lab/model"
 	"shelfproxy/internal/tomlfile"
 )
@@ -148,12 +149,36 @@
 type Keys struct {
 	Count Range `toml:"count"`
 	Skew  Range `toml:"skew"` // the exponent of a Zipf law; above 1
+	// Offset flattens the head of that law; 1 or more. Drift, if above 0, is how often all ranks move on by one.
+	Offset Range             `toml:"offset"`
+	Drift  tomlfile.Duration `toml:"drift"`
 }
 
-// Load is the light load of a demonstration.
+// Load is what clients ask for: a steady rate, and shapes and heats on top of it.
 type Load struct {
-	Rate        Range `toml:"rate"`        // requests a second
-	Connections int   `toml:"connections"` // to each node
+	Rate    Range   `toml:"rate"`    // requests a second, all the time
+	Uniform bool    `toml:"uniform"` // even gaps in place of Poisson arrivals
+	Shape   []Shape `toml:"shape"`
+	Heat    []Heat  `toml:"heat"`
+}
+
+// Shape is a part of the rate over time.
+type Shape struct {
+	Kind   string            `toml:"kind"` // steady, ramp, surge, sine or burst
+	Rate   Range             `toml:"rate"` // at its most
+	At     Span              `toml:"at"`
+	For    Span              `toml:"for"`
+	Period tomlfile.Duration `toml:"period"`
+	Class  string            `toml:"class"` // of this class only, as in a rush of sign-offs
+}
+
+// Heat is a part of the requests that goes to a few keys.
+type Heat struct {
+	Share Range             `toml:"share"`
+	Keys  int               `toml:"keys"`
+	At    Span              `toml:"at"`
+	For   Span              `toml:"for"`
+	Move  tomlfile.Duration `toml:"move"` // other keys each time this has passed
 }
 
 // Fault is one entry of the script of what goes wrong.
@@ -208,8 +233,8 @@
 			{Name: "issue-cert", Share: 0.016, Work: ms(130, 240), Aim: d(time.Second), Deadline: d(2 * time.Second), Worth: 3,
 				Late: 0.25, Write: true, Effect: "at_most_once", Bytes: Range{200, 2000}},
 		},
-		Keys: Keys{Count: Range{2000, 2000}, Skew: Range{1.1, 1.1}},
-		Load: Load{Rate: Range{60, 60}, Connections: 8},
+		Keys: Keys{Count: Range{2000, 2000}, Skew: Range{1.1, 1.1}, Offset: Range{1, 1}},
+		Load: Load{Rate: Range{60, 60}},
 	}
 }
 
@@ -300,8 +325,8 @@
 		return bad("keys.skew", "must be above 1")
 	case !s.Load.Rate.in(0, mostRate):
 		return bad("load.rate", "must be from 0 to %d", mostRate)
-	case s.Load.Connections < 1:
-		return bad("load.connections", "must be at least 1")
+	case !(s.Keys.Offset.Least >= 1):
+		return bad("keys.offset", "must be 1 or more")
 	case !s.Link.Loss.in(0, 1):
 		return bad("link.loss", "must be from 0 to 1")
 	}
@@ -344,6 +369,29 @@
 			return bad(at("bytes"), "must be from 0 to %d", 60<<10)
 		}
 	}
+	for i, sh := range s.Load.Shape {
+		at := func(f string) string { return fmt.Sprintf("load.shape[%d].%s", i, f) }
+		kind, err := load.ShapeOf(sh.Kind)
+		switch {
+		case err != nil:
+			return bad(at("kind"), "%v", err)
+		case !sh.Rate.in(0, mostRate):
+			return bad(at("rate"), "must be from 0 to %d", mostRate)
+		case (kind == load.Sine || kind == load.Burst) && sh.Period < tomlfile.Duration(10*time.Millisecond):
+			return bad(at("period"), "a shape of the kind %s needs one of 10ms or more", sh.Kind)
+		case sh.Class != "" && !slices.ContainsFunc(s.Class, func(c Class) bool { return c.Name == sh.Class }):
+			return bad(at("class"), "there is no class %q", sh.Class)
+		}
+	}
+	for i, h := range s.Load.Heat {
+		at := func(f string) string { return fmt.Sprintf("load.heat[%d].%s", i, f) }
+		switch {
+		case !h.Share.in(0, 1):
+			return bad(at("share"), "must be from 0 to 1")
+		case h.Keys < 1:
+			return bad(at("keys"), "must be at least 1")
+		}
+	}
 	for i, f := range s.Fault {
 		if err := s.checkFault(i, f); err != nil {
 			return err
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -33,6 +33,8 @@
 		"[[fault]]\nkind = 'quake'":                                     "s.toml:2: fault[0].kind: \"quake\" is none of deploy",
 		"[[fault]]\nkind = 'kill'\nat = 3":                              "s.toml:3: fault",
 		"[[fault]]\nkind = 'kill'\n[[fault]]\nkind = 'slow'":            "s.toml:3: fault[1].factor: a fault of the kind slow needs it",
+		"[[load.shape]]\nkind = 'sine'\nrate = 5":                       "s.toml:1: load.shape[0].period: a shape of the kind sine needs one",
+		"[[load.heat]]\nshare = 2":                                      "s.toml:2: load.heat[0].share: must be from 0 to 1",
 		"[[fault]]\nkind = 'cut'\nnodes = [0, 7]":                       "s.toml:3: fault[0].nodes: there may be no node 7",
 		"[[class]]\nname = 'x'\neffect = 'idempotent'\ndeadline = '1s'": "s.toml:4: class[0].deadline: ",
 		"[[fault]]\nkind = 'kill'\nzone = 'cellar'":                     "s.toml:3: fault[0].zone: there is no zone \"cellar\"",
@@ -113,8 +115,8 @@
 	if kinds["big"] != 3 && kinds["big"] != 2 || kinds["big"]+kinds["small"] != 10 || zones["a"] != 2 || zones["b"] != 8 {
 		t.Errorf("kinds %v, zones %v", kinds, zones)
 	}
-	if want := []float64{0.375, 0.25, 0.375}; !near(p.Shares, want) {
-		t.Errorf("shares of the load %v, want %v", p.Shares, want)
+	if want := []float64{0.375, 0.25, 0.375}; !near(p.Load.Shares, want) {
+		t.Errorf("shares of the load %v, want %v", p.Load.Shares, want)
 	}
 	f := p.Spec.Faults[0]
 	if f.Kind != model.Drain || f.At < time.Second || f.At > 2*time.Second || f.For != 3*time.Second || f.Select.Kind != "big" {
