Measure a node's cost beside a program that only copies bytes: shelflab overhead

Need: a figure of performance that tells builds apart and not machines.

Change: internal/lab/overhead runs a box that answers at once, a program that copies bytes both ways and a node as processes of their own, asks each in turns within one run, and gives rate, p50, p99, processor a request and memory with their ratios to the copying program.

--- a/cmd/shelflab/main.go
+++ b/cmd/shelflab/main.go
@@ -83,6 +83,7 @@
 			"  shelflab emulate deploy --dir run --base-port 7000",
 		Version: version(), SilenceUsage: true, SilenceErrors: true,
 	}
+	root.AddCommand(overheadCommands()...)
 	root.AddCommand(demoCommand(), emulateCommand(), loadCommand(), traceCommand(), checkCommand(), listCommand())
 	return root
 }
--- a/tests/lab_test.go
+++ b/tests/lab_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"shelfproxy/internal/lab/demo"
+	"shelfproxy/internal/lab/overhead"
 	"shelfproxy/internal/lab/rules"
 	"shelfproxy/internal/lab/scenario"
 )
@@ -222,6 +223,27 @@
 	}
 }
 
+// What a node costs is measured against a program that copies bytes, with figures for all three ways.
+func TestOverhead(t *testing.T) {
+	t.Parallel()
+	out, err := exec.Command(lab, "overhead", "--rounds", "1", "--span", "200ms", "--clients", "4", "--node", program).CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	for _, way := range overhead.Ways {
+		line := ""
+		for l := range strings.SplitSeq(string(out), "\n") {
+			if strings.Contains(l, " "+way+" ") {
+				line = l
+			}
+		}
+		fields := strings.Split(line, "│")
+		if len(fields) < 9 || strings.TrimSpace(fields[2]) == "0" || strings.TrimSpace(fields[4]) == "-" {
+			t.Errorf("%s: %q in %s", way, line, out)
+		}
+	}
+}
+
 // The node's verbs: what is good, which build it is, and where each value came from.
 func TestNodeVerbs(t *testing.T) {
 	t.Parallel()
