--- a/cmd/shelflab/load.go
+++ b/cmd/shelflab/load.go
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"shelfproxy/internal/exit"
 	"shelfproxy/internal/lab/clients"
 	"shelfproxy/internal/lab/load"
 	"shelfproxy/internal/lab/trace"
@@ -56,18 +57,18 @@
 			if replay != "" {
 				r, err := trace.Open(replay)
 				if err != nil {
-					return coded(exitFailed, err)
+					return exit.With(exitFailed, err)
 				}
 				defer r.Close()
 				if opt.Source, err = source(r, classes, len(nodes), speed); err != nil {
-					return coded(exitFailed, err)
+					return exit.With(exitFailed, err)
 				}
 			}
 			var failed error
 			if recordTo != "" {
 				w, err := trace.Create(recordTo, trace.Meta{Classes: classes, Nodes: len(nodes), From: "shelflab load " + args[0], Began: time.Now().UTC()})
 				if err != nil {
-					return coded(exitFailed, err)
+					return exit.With(exitFailed, err)
 				}
 				opt.Record = func(a load.Arrival) { failed = errors.Join(failed, w.Add(a)) }
 				defer w.Close()
@@ -75,7 +76,7 @@
 			l := clients.New(plan, opt)
 			l.Run(cmd.Context())
 			if failed != nil {
-				return coded(exitFailed, failed)
+				return exit.With(exitFailed, failed)
 			}
 			out := cmd.OutOrStdout()
 			clients.WriteClasses(out, l.Classes())
@@ -85,7 +86,7 @@
 			case cmd.Context().Err() != nil:
 				return context.Canceled
 			case len(why) > 0:
-				return coded(exitInvalid, errors.New("the run is not valid: "+strings.Join(why, "; ")))
+				return exit.With(exitInvalid, errors.New("the run is not valid: "+strings.Join(why, "; ")))
 			}
 			return nil
 		}}
@@ -140,7 +141,7 @@
 			}
 			n, err := trace.Copy(args[0], args[1], c)
 			if err != nil {
-				return coded(exitFailed, err)
+				return exit.With(exitFailed, err)
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%d requests\n", n)
 			return nil
@@ -167,7 +168,7 @@
 		&cobra.Command{Use: "info FILE", Short: "Say what a trace holds", Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
 			i, err := trace.Look(args[0])
 			if err != nil {
-				return coded(exitFailed, err)
+				return exit.With(exitFailed, err)
 			}
 			w := cmd.OutOrStdout()
 			fmt.Fprintf(w, "%d requests in %s, %d in the busiest second, %d keys; %s drew %.1f%%\n", i.Requests, i.Length, i.Busiest, i.Keys,
@@ -181,13 +182,13 @@
 			return nil
 		}},
 		&cobra.Command{Use: "export FILE", Short: "Write a trace as lines of JSON", Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
-			return coded(exitFailed, trace.Export(args[0], cmd.OutOrStdout()))
+			return exit.With(exitFailed, trace.Export(args[0], cmd.OutOrStdout()))
 		}},
 		&cobra.Command{Use: "import FILE", Short: "Make a trace of lines of JSON from standard input", Args: cobra.ExactArgs(1),
 			RunE: func(cmd *cobra.Command, args []string) error {
 				n, err := trace.Import(cmd.InOrStdin(), args[0])
 				if err != nil {
-					return coded(exitFailed, err)
+					return exit.With(exitFailed, err)
 				}
 				fmt.Fprintf(cmd.OutOrStdout(), "%d requests\n", n)
 				return nil
--- a/cmd/shelflab/main.go
+++ b/cmd/shelflab/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/spf13/cobra"
 
+	"shelfproxy/internal/exit"
 	"shelfproxy/internal/lab/emulate"
 	"shelfproxy/internal/lab/scenario"
 	"shelfproxy/lab/scenarios"
@@ -37,11 +38,7 @@
 	if err == nil {
 		return
 	}
-	code := exitUsage
-	var coded *codedError
-	if errors.As(err, &coded) {
-		code = coded.code
-	}
+	code := exit.Code(err, exitUsage)
 	var port *emulate.PortTakenError
 	switch {
 	case errors.As(err, &port):
@@ -55,21 +52,6 @@
 	os.Exit(code)
 }
 
-// codedError is an error with the code that the program ends with.
-type codedError struct {
-	error
-	code int
-}
-
-func (e *codedError) Unwrap() error { return e.error }
-
-func coded(code int, err error) error {
-	if err == nil {
-		return nil
-	}
-	return &codedError{err, code}
-}
-
 func command() *cobra.Command {
 	root := &cobra.Command{
 		Use:   "shelflab",
@@ -92,13 +74,13 @@
 func readScenario(name string) (*scenario.Scenario, error) {
 	if text, ok := scenarios.Text(name); ok {
 		s, err := scenario.Parse(name+".toml", text)
-		return s, coded(exitScenario, err)
+		return s, exit.With(exitScenario, err)
 	}
 	s, err := scenario.Read(name)
 	if errors.Is(err, os.ErrNotExist) && !strings.ContainsAny(name, "/.") {
 		err = fmt.Errorf("there is no scenario %q; shipped are %s", name, strings.Join(scenarios.Names(), ", "))
 	}
-	return s, coded(exitScenario, err)
+	return s, exit.With(exitScenario, err)
 }
 
 // names completes the names of shipped scenarios; files are left to the shell.
--- a/cmd/shelflab/overhead.go
+++ b/cmd/shelflab/overhead.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"shelfproxy/internal/exit"
 	"shelfproxy/internal/lab/demo"
 	"shelfproxy/internal/lab/nodes"
 	"shelfproxy/internal/lab/overhead"
@@ -23,21 +24,21 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			dir, err := demo.TempDir()
 			if err != nil {
-				return coded(exitFailed, err)
+				return exit.With(exitFailed, err)
 			}
 			defer os.RemoveAll(dir)
 			opt.Dir = dir
 			if opt.Self, err = os.Executable(); err != nil {
-				return coded(exitFailed, err)
+				return exit.With(exitFailed, err)
 			}
 			if opt.Node == "" {
 				if opt.Node, err = nodes.Find(cmd.Context(), dir); err != nil {
-					return coded(exitFailed, err)
+					return exit.With(exitFailed, err)
 				}
 			}
 			rs, err := overhead.Run(cmd.Context(), opt)
 			if err != nil {
-				return coded(exitFailed, err)
+				return exit.With(exitFailed, err)
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%d clients, values of %d bytes, %d rounds of %s a way\n", opt.Clients, opt.Bytes, opt.Rounds, opt.Span)
 			overhead.Write(cmd.OutOrStdout(), rs)
@@ -56,11 +57,11 @@
 		if err != nil {
 			return err
 		}
-		return coded(exitFailed, overhead.Box(cmd.Context(), args[0], size))
+		return exit.With(exitFailed, overhead.Box(cmd.Context(), args[0], size))
 	}}
 	splice := &cobra.Command{Use: "overhead-splice ADDRESS TO", Hidden: true, Args: cobra.ExactArgs(2), RunE: func(cmd *cobra.Command, args []string) error {
 		runtime.GOMAXPROCS(1)
-		return coded(exitFailed, overhead.Splice(cmd.Context(), args[0], args[1]))
+		return exit.With(exitFailed, overhead.Splice(cmd.Context(), args[0], args[1]))
 	}}
 	return []*cobra.Command{cmd, box, splice}
 }
--- a/cmd/shelflab/run.go
+++ b/cmd/shelflab/run.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/term"
 
+	"shelfproxy/internal/exit"
 	"shelfproxy/internal/lab/demo"
 	"shelfproxy/internal/lab/emulate"
 	"shelfproxy/internal/lab/scenario"
@@ -72,11 +73,11 @@
 			}
 			if dir == "" {
 				if dir, err = demo.TempDir(); err != nil {
-					return coded(exitFailed, err)
+					return exit.With(exitFailed, err)
 				}
 				defer os.RemoveAll(dir)
 			} else if err := os.MkdirAll(dir, 0o755); err != nil {
-				return coded(exitFailed, err)
+				return exit.With(exitFailed, err)
 			}
 			out := cmd.OutOrStdout()
 			live := false
@@ -91,12 +92,12 @@
 			r, err := demo.Run(cmd.Context(), demo.Options{Plan: plan, Program: program, Dir: dir, Log: logs.New(os.Stderr, logging),
 				Out: out, Live: live, Every: every, Restarts: restarts})
 			if err != nil {
-				return coded(exitFailed, err)
+				return exit.With(exitFailed, err)
 			}
 			r.Write(out)
 			switch {
 			case !r.Kept():
-				return coded(exitRules, errors.New("a rule was broken"))
+				return exit.With(exitRules, errors.New("a rule was broken"))
 			case r.Interrupted:
 				return context.Canceled
 			}
@@ -125,28 +126,28 @@
 				return err
 			}
 			if err := os.MkdirAll(dir, 0o755); err != nil {
-				return coded(exitFailed, err)
+				return exit.With(exitFailed, err)
 			}
 			opt := emulate.Options{Log: logs.New(os.Stderr, logging), BasePort: basePort}
 			if trace != "" {
 				f, err := os.Create(trace)
 				if err != nil {
-					return coded(exitFailed, fmt.Errorf("--trace: %w", err))
+					return exit.With(exitFailed, fmt.Errorf("--trace: %w", err))
 				}
 				defer f.Close()
 				opt.Trace = func(line []byte) { f.Write(line) }
 			}
 			em, err := emulate.New(plan, opt)
 			if err != nil {
-				return coded(exitFailed, err)
+				return exit.With(exitFailed, err)
 			}
 			defer em.Close()
 			if err := em.Start(); err != nil {
-				return coded(exitFailed, err)
+				return exit.With(exitFailed, err)
 			}
 			configs, err := em.WriteConfigs(dir)
 			if err != nil {
-				return coded(exitFailed, err)
+				return exit.With(exitFailed, err)
 			}
 			out := cmd.OutOrStdout()
 			fmt.Fprintf(out, "emulating %s with seed %d: %d boxes\n", plan.Name, plan.Seed, len(plan.Spec.Boxes))
@@ -170,7 +171,7 @@
 					err = os.WriteFile(filepath.Clean(summary), append(text, '\n'), 0o644)
 				}
 				if err != nil {
-					return coded(exitFailed, fmt.Errorf("--summary: %w", err))
+					return exit.With(exitFailed, fmt.Errorf("--summary: %w", err))
 				}
 			}
 			fmt.Fprintf(out, "%.1f s: %d connections, %d attempts, %d probes, %d malformed, event log %016x\n", sum.Length.Seconds(),
@@ -179,7 +180,7 @@
 				for _, v := range sum.Broken {
 					fmt.Fprintln(out, v)
 				}
-				return coded(exitRules, fmt.Errorf("%d rules were broken", len(sum.Broken)))
+				return exit.With(exitRules, fmt.Errorf("%d rules were broken", len(sum.Broken)))
 			}
 			return nil
 		}}
--- a/cmd/shelfproxy/main.go
+++ b/cmd/shelfproxy/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"runtime/debug"
@@ -11,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"shelfproxy/internal/config"
+	"shelfproxy/internal/exit"
 )
 
 // Exit codes, for scripts.
@@ -24,41 +24,22 @@
 	if err := command().Execute(); err != nil {
 		// One line, whatever went wrong: on the platform the log is all there is to see.
 		fmt.Fprintln(os.Stderr, "shelfproxy:", err)
-		var coded *codedError
-		if errors.As(err, &coded) {
-			os.Exit(coded.code)
-		}
-		os.Exit(exitUsage)
-	}
-}
-
-// codedError is an error with the code that the program ends with.
-type codedError struct {
-	error
-	code int
-}
-
-func (e *codedError) Unwrap() error { return e.error }
-
-func coded(code int, err error) error {
-	if err == nil {
-		return nil
+		os.Exit(exit.Code(err, exitUsage))
 	}
-	return &codedError{err, code}
 }
 
 func command() *cobra.Command {
 	var file string
 	load := func() (*config.Config, error) {
 		cfg, err := config.Load(os.Getenv, file)
-		return cfg, coded(exitConfig, err)
+		return cfg, exit.With(exitConfig, err)
 	}
 	start := func(*cobra.Command, []string) error {
 		cfg, err := load()
 		if err != nil {
 			return err
 		}
-		return coded(exitFailed, run(cfg, file))
+		return exit.With(exitFailed, run(cfg, file))
 	}
 	root := &cobra.Command{
 		Use:   "shelfproxy",
