--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,6 +42,8 @@
 	backoff     = 25 * time.Millisecond   // first wait after a server was full
 	cutOff      = 4                       // connects that fail in a row before a zone counts as out of reach
 	pace        = 10 * time.Millisecond   // between two routers' probes of a server believed silent
+	outlier     = 0.3                     // utilisation over that of all from which a server gives slots up
+	keepLeast   = 0.05                    // share of its slots that it keeps, or nobody would see it mend
 	askEvery    = time.Second             // first wait before asking the list or a silent server again
 	housekeep   = uint64(1) << 62         // timer tokens from here on are not request ids
 	upkeepEvery = 250 * time.Millisecond
@@ -153,6 +155,9 @@
 func (r *Router) next(slot uint64, after float64, avoid *server) (best *server, score float64) {
 	score = math.Inf(1)
 	for _, s := range r.servers {
+		if s.keep < 1 && unit(mix(slot+s.hash)) >= s.keep {
+			continue // a bad server keeps part of its slots, the same ones at every router
+		}
 		// A zone that is cut off must not be found out server by server: each costs a connect that fails.
 		cut := s.Zone != r.set.Zone && r.unreached[s.Zone] >= cutOff
 		if s.silent || cut || s == avoid || !r.takesKeys(s) {
@@ -173,6 +178,14 @@
 	return best, score
 }
 
+// judge sets the share of its slots that a server keeps: all, unless it is slow or fails far more often
+// than the others do. What is bad everywhere is a crowd and no one server's fault.
+func (r *Router) judge(s *server) {
+	u, _ := s.gauge.utilisation(r.now)
+	all, _ := r.pool.utilisation(r.now)
+	s.keep = max(keepLeast, min(1, 1-((u-all)-outlier)/outlier))
+}
+
 // countKey counts a request for the popularity of its key. Counts fade by making later ones weigh more.
 func (r *Router) countKey(key string) {
 	if r.all > 0 {
@@ -465,6 +478,10 @@
 		r.end(q)
 	}
 	switch e.Reason {
+	case Cancelled:
+		if !q.ended {
+			s.gauge.observe(r.now, e.Took, true) // moved on from
+		}
 	case TimedOut, NoConnection, Reset:
 		if e.Reason == NoConnection {
 			r.unreached[s.Zone]++
@@ -491,6 +508,7 @@
 	if e.Reason == Miss {
 		s.doubt = 0
 	}
+	r.judge(s)
 	mayHaveRun := slices.Contains([]Reason{Errored, TimedOut, Reset, Cancelled, Spoilt}, e.Reason)
 	if mayHaveRun && q.risk == nil {
 		q.risk = a
@@ -513,8 +531,8 @@
 			q.avoid = s
 		}
 		r.advance(q)
-	case cache && (unreached ||
-		e.Reason == Rejected && q.bucket != bulk && len(q.attempts) < 3 && r.roomy(spill)):
+	case cache && (unreached || len(q.attempts) < 3 &&
+		(e.Reason == Errored && !q.Write || e.Reason == Rejected && r.roomy(spill))):
 		q.avoid = s
 		r.advance(q)
 	case cache && q.bucket == bulk:
@@ -606,6 +624,7 @@
 		if !r.takesKeys(s) {
 			continue
 		}
+		r.judge(s)
 		r.moveOn(s)
 		patience := max(r.pool.target, upkeepEvery)
 		quiet := r.now - max(s.gauge.oldest(r.now), s.heard)
--- a/brain/router.go
+++ b/brain/router.go
@@ -57,6 +57,7 @@
 	refused bool    // a connect was refused while it was silent
 	doubt   int     // hits still wanted to show that it was only cut off; 0 without a doubt
 	asked   float64 // requests, or parts of those of hot keys, that it was a choice for; counted like keys
+	keep    float64 // share of its slots that it keeps
 	gauge   gauge
 }
 
@@ -260,7 +261,7 @@
 func (r *Router) server(id string) *server {
 	s := r.byID[id]
 	if s == nil {
-		s = &server{hash: hash(id), heard: r.now}
+		s = &server{hash: hash(id), heard: r.now, keep: 1}
 		s.gauge.objectives, s.gauge.pool = r.pool.objectives, &r.pool
 		r.byID[id] = s
 		at, _ := slices.BinarySearchFunc(r.servers, id, func(s *server, id string) int {
