--- a/brain/api.go
+++ b/brain/api.go
@@ -59,6 +59,7 @@
 	SizedUnits bool    // Server.Units states a size that should weigh in the spread of keys
 	MustAsk    bool    // the server list comes only to a router that subscribes
 	Probes     bool    // Probe is allowed
+	Peers      bool    // Tell is allowed
 	Cancels    bool    // Cancel is allowed
 
 	// What idle connections cost: points of the service for 100 open at each server, and for a new one for each
@@ -172,6 +173,12 @@
 // refused should be, from 0 (none) to 1 (all), until it is told anew.
 type Strain struct{ Level float64 }
 
+// Heard brings what another router told with Tell.
+type Heard struct {
+	From int // its number
+	Data []byte
+}
+
 // Timer says that a SetTimer has come due.
 type Timer struct{ Token uint64 }
 
@@ -183,6 +190,7 @@
 func (Probed) event()    {}
 func (Timer) event()     {}
 func (Strain) event()    {}
+func (Heard) event()     {}
 
 // Action is something the router wants done: one of the types below it.
 type Action interface{ action() }
@@ -223,6 +231,9 @@
 // Subscribe asks for the server list and its changes from now on.
 type Subscribe struct{}
 
+// Tell sends at most 256 bytes to all other routers, which may or may not arrive.
+type Tell struct{ Data []byte }
+
 // Log is a line for the operators.
 type Log struct{ Text string }
 
@@ -234,4 +245,5 @@
 func (Close) action()     {}
 func (SetTimer) action()  {}
 func (Subscribe) action() {}
+func (Tell) action()      {}
 func (Log) action()       {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"shelfproxy/internal/gossip"
 )
 
 const (
@@ -42,8 +44,7 @@
 	backoff     = 25 * time.Millisecond   // first wait after a server was full
 	cutOff      = 4                       // connects that fail in a row before a zone counts as out of reach
 	pace        = 10 * time.Millisecond   // between two routers' probes of a server believed silent
-	outlier     = 0.3                     // utilisation over that of all from which a server gives slots up
-	keepLeast   = 0.05                    // share of its slots that it keeps, or nobody would see it mend
+	paceTold    = 50 * time.Millisecond   // the same where the one that finds it back tells the others
 	askEvery    = time.Second             // first wait before asking the list or a silent server again
 	housekeep   = uint64(1) << 62         // timer tokens from here on are not request ids
 	upkeepEvery = 250 * time.Millisecond
@@ -89,32 +90,6 @@
 	g.count(now, took, failed)
 }
 
-func (g *gauge) count(now Time, took time.Duration, failed bool) {
-	g.age(now)
-	g.n++
-	if failed || took > g.target {
-		g.slow++
-	}
-	if failed || took > g.max {
-		g.over++
-	}
-}
-
-// age lets timings fade: fast while there are plenty, slowly once fewer than enough are left. A router among
-// hundreds has a fetch every few seconds, and judges by the last few.
-func (g *gauge) age(now Time) {
-	if g.n > 0 && now > g.at {
-		n := fade(g.n, now-g.at, window, enough, maxAge)
-		g.n, g.slow, g.over = n, g.slow*n/g.n, g.over*n/g.n
-	}
-	g.at = now
-}
-
-// fade is what is left of a count: it falls to 1/e after each window while above enough, else after each age.
-func fade(n float64, dt, window time.Duration, enough float64, age time.Duration) float64 {
-	return max(n*math.Exp(-float64(dt)/float64(window)), min(n, enough)*math.Exp(-float64(dt)/float64(age)))
-}
-
 // utilisation is the share of recent work over the target and over the maximum. Work still out past them
 // counts already: a stalled origin answers nothing that could be timed.
 func (g *gauge) utilisation(now Time) (target, maximum float64) {
@@ -155,7 +130,7 @@
 func (r *Router) next(slot uint64, after float64, avoid *server) (best *server, score float64) {
 	score = math.Inf(1)
 	for _, s := range r.servers {
-		if s.keep < 1 && unit(mix(slot+s.hash)) >= s.keep {
+		if s.opinion.Keep < 1 && unit(mix(slot+s.hash)) >= s.opinion.Keep {
 			continue // a bad server keeps part of its slots, the same ones at every router
 		}
 		// A zone that is cut off must not be found out server by server: each costs a connect that fails.
@@ -178,12 +153,39 @@
 	return best, score
 }
 
-// judge sets the share of its slots that a server keeps: all, unless it is slow or fails far more often
-// than the others do. What is bad everywhere is a crowd and no one server's fault.
+// saw takes a timing of a server, tells the other routers of one that is in doubt, and judges it anew.
+func (r *Router) saw(s *server, took time.Duration, failed bool) {
+	s.gauge.observe(r.now, took, failed)
+	if s != r.origin {
+		r.talk.Saw(&s.opinion, s.gauge.n, failed || took > s.gauge.target, r.rng.Float64())
+	}
+	r.judge(s)
+}
+
 func (r *Router) judge(s *server) {
 	u, _ := s.gauge.utilisation(r.now)
 	all, _ := r.pool.utilisation(r.now)
-	s.keep = max(keepLeast, min(1, 1-((u-all)-outlier)/outlier))
+	s.opinion.Judge(u, all)
+}
+
+// hear takes what another router met as if this one had met it: alone it meets most servers too seldom.
+func (r *Router) hear(e Heard) {
+	notes, _ := gossip.Decode(e.Data) // one that is malformed counts for nothing
+	for _, n := range notes {
+		s := r.byMark[n.Server]
+		if s == nil || s == r.origin {
+			continue
+		}
+		s.gauge.add(r.now, float64(n.Seen), float64(n.Bad))
+		r.judge(s)
+		switch heard := r.now - s.heard; {
+		case n.Answered && s.silent && r.now-s.since > askEvery || !s.silent && n.Seen > n.Bad:
+			r.alive(s)
+		case n.Silent && !s.silent && heard > askEvery/2 &&
+			s.opinion.Witness(r.now, e.From, s.doubted > s.heard):
+			r.silence(s)
+		}
+	}
 }
 
 // countKey counts a request for the popularity of its key. Counts fade by making later ones weigh more.
@@ -480,17 +482,17 @@
 	switch e.Reason {
 	case Cancelled:
 		if !q.ended {
-			s.gauge.observe(r.now, e.Took, true) // moved on from
+			r.saw(s, e.Took, true) // moved on from
 		}
 	case TimedOut, NoConnection, Reset:
 		if e.Reason == NoConnection {
 			r.unreached[s.Zone]++
 			s.refused = s.refused || e.Took < refusedBy
 		}
-		s.gauge.observe(r.now, e.Took, true)
+		r.saw(s, e.Took, true)
 		r.suspect(s)
 	case OK, Errored, Rejected:
-		s.gauge.observe(r.now, e.Took, e.Reason != OK)
+		r.saw(s, e.Took, e.Reason != OK)
 		if e.Reason == OK && s != r.origin {
 			if r.quickest += r.quickest / creep; r.quickest == 0 || e.Took < r.quickest {
 				r.quickest = e.Took
@@ -508,7 +510,6 @@
 	if e.Reason == Miss {
 		s.doubt = 0
 	}
-	r.judge(s)
 	mayHaveRun := slices.Contains([]Reason{Errored, TimedOut, Reset, Cancelled, Spoilt}, e.Reason)
 	if mayHaveRun && q.risk == nil {
 		q.risk = a
@@ -583,12 +584,16 @@
 	s.probing = false
 	switch {
 	case reason != TimedOut && reason != NoConnection && reason != Reset: // turned away is a sign of life
+		if s.silent {
+			r.talk.Alive(s.opinion.Mark)
+		}
 		r.alive(s)
 	case reason == Reset && s.resets < maxResets: // connections break on a bad network too: ask on another
 		s.resets++
 		r.probe(s)
 	case s.silent || s.heard >= s.probeAt:
 	case s.doubted > s.heard:
+		r.talk.Silent(s.opinion.Mark)
 		r.silence(s)
 	default:
 		s.doubted = r.now
@@ -628,11 +633,14 @@
 		r.moveOn(s)
 		patience := max(r.pool.target, upkeepEvery)
 		quiet := r.now - max(s.gauge.oldest(r.now), s.heard)
-		if s.silent && r.now-s.probeAt > max(askEvery, pace*time.Duration(r.set.Routers)) ||
+		if s.silent && r.now-s.probeAt > max(askEvery, r.pace*time.Duration(r.set.Routers)) ||
 			!s.silent && quiet > patience && r.now-s.probeAt > patience {
 			r.probe(s)
 		}
 	}
+	if data := r.talk.Due(r.now, r.rng.Float64()); data != nil {
+		r.act(Tell{data})
+	}
 	if r.set.MustAsk && r.asking && r.now >= r.askAt {
 		r.act(Subscribe{})
 		r.askWait = min(2*r.askWait, 16*askEvery)
--- a/brain/router.go
+++ b/brain/router.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"shelfproxy/internal/admission"
+	"shelfproxy/internal/gossip"
 )
 
 // bucket ranks work by worth; the highest value is refused first.
@@ -57,7 +58,7 @@
 	refused bool    // a connect was refused while it was silent
 	doubt   int     // hits still wanted to show that it was only cut off; 0 without a doubt
 	asked   float64 // requests, or parts of those of hot keys, that it was a choice for; counted like keys
-	keep    float64 // share of its slots that it keeps
+	opinion gossip.Opinion
 	gauge   gauge
 }
 
@@ -121,7 +122,10 @@
 	allAt     Time
 	quickest  time.Duration      // answers of cache servers of late; 0 before the first
 	keys      map[string]float64 // requests by key
-	sweepAt   Time               // when forgotten keys are dropped next
+	byMark    map[gossip.Mark]*server
+	talk      gossip.Talk   // with the other routers
+	pace      time.Duration // between two routers' probes of a server believed silent
+	sweepAt   Time          // when forgotten keys are dropped next
 	asking    bool
 	ticking   bool
 	askWait   time.Duration
@@ -143,6 +147,7 @@
 	r := &Router{set: set, rng: rand.New(rand.NewPCG(seed, seed)), classes: map[string]*Class{},
 		tenants: map[string]*tenant{}, byID: map[string]*server{}, unreached: map[string]int{},
 		requests: map[uint64]*request{}, flights: map[string]*flight{}, keys: map[string]float64{},
+		byMark: map[gossip.Mark]*server{}, talk: gossip.Talk{Mute: !set.Peers, Nodes: set.Routers},
 		one: 1, askWait: askEvery, budgets: map[*Class]*admission.Budget{}}
 	if err := set.validate(); err != nil {
 		return nil, err
@@ -161,6 +166,9 @@
 	}
 	r.pool.objectives = r.objectives()
 	r.pool.floor = time.Duration(float64(r.pool.limit) * poolFloor)
+	if r.pace = pace; set.Peers {
+		r.pace = paceTold
+	}
 	for b := range r.owed {
 		r.owed[b] = r.rng.Float64() // or all routers would refuse in step
 	}
@@ -198,6 +206,8 @@
 		if s := r.byID[e.Server]; s != nil {
 			r.probed(s, e.Reason)
 		}
+	case Heard:
+		r.hear(e)
 	case Strain:
 		r.strain = e.Level
 	case Timer:
@@ -235,6 +245,38 @@
 	}
 }
 
+// add takes timings that another router told of.
+func (g *gauge) add(now Time, n, bad float64) {
+	g.age(now)
+	g.n, g.slow = g.n+n, g.slow+bad
+}
+
+func (g *gauge) count(now Time, took time.Duration, failed bool) {
+	g.age(now)
+	g.n++
+	if failed || took > g.target {
+		g.slow++
+	}
+	if failed || took > g.max {
+		g.over++
+	}
+}
+
+// age lets timings fade: fast while there are plenty, slowly once fewer than enough are left. A router among
+// hundreds has a fetch every few seconds, and judges by the last few.
+func (g *gauge) age(now Time) {
+	if g.n > 0 && now > g.at {
+		n := fade(g.n, now-g.at, window, enough, maxAge)
+		g.n, g.slow, g.over = n, g.slow*n/g.n, g.over*n/g.n
+	}
+	g.at = now
+}
+
+// fade is what is left of a count: it falls to 1/e after each window while above enough, else after each age.
+func fade(n float64, dt, window time.Duration, enough float64, age time.Duration) float64 {
+	return max(n*math.Exp(-float64(dt)/float64(window)), min(n, enough)*math.Exp(-float64(dt)/float64(age)))
+}
+
 // drop forgets an attempt that is no longer waited for.
 func (g *gauge) drop(a *attempt) {
 	g.out = slices.DeleteFunc(g.out, func(b *attempt) bool { return a == b })
@@ -261,9 +303,10 @@
 func (r *Router) server(id string) *server {
 	s := r.byID[id]
 	if s == nil {
-		s = &server{hash: hash(id), heard: r.now, keep: 1}
+		s = &server{hash: hash(id), heard: r.now}
 		s.gauge.objectives, s.gauge.pool = r.pool.objectives, &r.pool
-		r.byID[id] = s
+		s.opinion = gossip.NewOpinion(gossip.MarkOf(s.hash))
+		r.byID[id], r.byMark[s.opinion.Mark] = s, s
 		at, _ := slices.BinarySearchFunc(r.servers, id, func(s *server, id string) int {
 			return strings.Compare(s.ID, id)
 		})
@@ -282,6 +325,7 @@
 		gone := !s.listed && !s.probing && len(s.gauge.out) == 0
 		if gone {
 			delete(r.byID, s.ID)
+			delete(r.byMark, s.opinion.Mark)
 		}
 		return gone
 	})
--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -6,10 +6,12 @@
 	"log/slog"
 	"math"
 	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -23,6 +25,7 @@
 	"shelfproxy/internal/logs"
 	"shelfproxy/internal/node"
 	"shelfproxy/internal/origin"
+	"shelfproxy/internal/peers"
 	"shelfproxy/internal/target"
 )
 
@@ -120,7 +123,16 @@
 	originLimits := limits
 	originLimits.Streams, originLimits.Conns = 1, cfg.Sockets // the budget bounds them
 
-	n, err := node.New(node.Options{Module: cfg.Module, Seed: cfg.Seed, MaxOpen: cfg.Node.MaxOpen, MaxWait: cfg.Node.LongestWait,
+	socket, err := openPeers(cfg)
+	if err != nil {
+		return nil, err
+	}
+	module := cfg.Module
+	var tell func([]byte) error
+	if module.Peers = socket != nil; module.Peers {
+		tell = socket.Tell
+	}
+	n, err := node.New(node.Options{Tell: tell, Module: module, Seed: cfg.Seed, MaxOpen: cfg.Node.MaxOpen, MaxWait: cfg.Node.LongestWait,
 		Known: cfg.Known, Source: &discovery.Client{Addr: cfg.Discovery}, Count: count, Log: logs.Component(log, "node"),
 		Upstream: func(s discovery.Server, isOrigin bool, report func(*forward.Forward, forward.Answer)) node.Upstream {
 			if isOrigin {
@@ -132,6 +144,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if socket != nil {
+		go listenToPeers(socket, n, count, logs.Component(log, "peers"))
+	}
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
@@ -143,6 +158,25 @@
 		split: admission.NewSplit(split), targets: targets, origins: origins}, nil
 }
 
+// openPeers opens the socket to the other nodes, where the deployment allows messages and says where they go.
+func openPeers(cfg *config.Config) (*peers.Socket, error) {
+	if !cfg.Tells() {
+		return nil, nil
+	}
+	return peers.Open(cfg.Peers)
+}
+
+func listenToPeers(socket *peers.Socket, n *node.Node, count *counters.Counters, log *slog.Logger) {
+	var once sync.Once
+	err := socket.Receive(n.Heard, func(from netip.AddrPort) {
+		count.PeersForeign.Add(1)
+		once.Do(func() {
+			log.Warn("a datagram came that no node of this tier sent", logs.Event, "peer_foreign", "from", from.String())
+		})
+	})
+	log.Error("other nodes are no longer heard", logs.Event, "peers_ended", "error", err.Error())
+}
+
 // look is how often descriptors are divided anew.
 const look = 250 * time.Millisecond
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 
 	"shelfproxy/brain"
 	"shelfproxy/internal/discovery"
+	"shelfproxy/internal/peers"
 )
 
 // Config is a node's configuration.
@@ -23,6 +24,7 @@
 	Cores                   float64
 	MemoryMB, Sockets       int
 	Known                   discovery.List
+	Peers                   peers.Addresses // without an address for all, nothing is told
 	Settings
 	Operator *Operator
 
@@ -98,6 +100,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.Tells() {
+		if err := c.Peers.Check(); err != nil {
+			return nil, err
+		}
+	}
 	if c.seed == "" && v == nil {
 		// Nodes with the same random numbers would all do the same thing at the same moment.
 		c.Seed, c.from["seed"] = rand.Uint64(), "drawn at the start"
@@ -109,6 +116,9 @@
 	return c, nil
 }
 
+// Tells says whether the node may send messages to others and knows where they are.
+func (c *Config) Tells() bool { return c.Module.Peers && c.Peers.All != "" && c.Peers.Listen != "" }
+
 // place is where the operator's file sets a field.
 func (c *Config) place(field string) string {
 	f := c.Operator.file
@@ -159,6 +169,10 @@
 	if err := c.number(v, path, &c.Sockets, 128, "sockets"); err != nil {
 		return nil, err
 	}
+	c.Peers = peers.Addresses{Listen: string(v.GetStringBytes("peer_listen")), All: string(v.GetStringBytes("peers_all"))}
+	for _, p := range v.GetArray("peers") {
+		c.Peers.Peers = append(c.Peers.Peers, string(p.GetStringBytes()))
+	}
 	if known := v.Get("known"); known != nil && known.Type() != fastjson.TypeNull {
 		if c.Known, err = discovery.Parse(known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -51,6 +51,7 @@
 	Weights  string `json:"weights"`
 	Registry string `json:"registry_mode"`
 	Limits   struct {
+		Peers         bool   `json:"may_tell"`
 		Probes        bool   `json:"probes"`
 		Cancel        bool   `json:"cancel"`
 		RetryAfter    bool   `json:"retry_after"`
@@ -99,7 +100,7 @@
 		Routers: in.Replicas, Zone: in.Zone, OverShare: in.OverShare,
 		SizedUnits: in.Weights == "nominal" || in.Weights == "rough",
 		MustAsk:    in.Registry == "subscribe",
-		Probes:     in.Limits.Probes, Cancels: in.Limits.Cancel,
+		Peers:      in.Limits.Peers, Probes: in.Limits.Probes, Cancels: in.Limits.Cancel,
 		MaxAttempts: in.Limits.MaxAttempts, Tick: micros(in.Tick),
 		ColdFrom: in.Rules.ColdFrom, WarmAfter: micros(in.Rules.WarmAfter),
 		FallFactor:      in.Rules.Overload,
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -15,6 +15,7 @@
 	Opened, OriginOpened                                  atomic.Int64 // connections to servers
 	Moves                                                 atomic.Int64 // descriptors that were moved from one use to another, in times
 	Probes, Watches, Lists, WatchesBroken, WatchesGarbage atomic.Int64
+	PeersTold, PeersHeard, PeersForeign, PeersDropped     atomic.Int64 // datagrams: sent, taken, from elsewhere or too long, lost here
 	Reloads, ReloadsBad                                   atomic.Int64 // configurations read again, and those that were no good
 	Late                                                  atomic.Int64 // answers of servers that came after their flow's end
 	Gone                                                  atomic.Int64 // flows whose client left first
@@ -74,6 +75,10 @@
 	line(&c.WatchesBroken, "discovery_watches_broken")
 	line(&c.WatchesGarbage, "discovery_watches_garbage")
 	line(&c.Lists, "discovery_lists")
+	line(&c.PeersTold, "peers_told")
+	line(&c.PeersHeard, "peers_heard")
+	line(&c.PeersForeign, "peers_foreign")
+	line(&c.PeersDropped, "peers_dropped")
 	line(&c.Reloads, "reloads")
 	line(&c.ReloadsBad, "reloads_bad")
 	line(&c.Late, "answers_late")
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,132 @@
+// Package gossip is what nodes tell each other of the servers they have met: how often of late, how often it went
+// badly, whether there was any answer. A node of many meets most servers seldom, and together they meet each of them
+// all the time. It holds no clock and no sockets, and what follows for a request is the
+// module's affair.
+//
+// A datagram is one byte of version and then the notes, four bytes each: three that name the server, one with two
+// counts of three bits and two flags. Notes are samples, so one that is lost, late or read twice does little harm.
+// What they cost is priced by the byte and by the receiver: nothing is told of a server of which no ill is known, and
+// the less the more is known already (Talk).
+package gossip
+
+import (
+	"errors"
+	"slices"
+)
+
+const (
+	version  = 1
+	noteSize = 4
+	maxCount = 7  // of one note; three bits
+	maxNotes = 60 // of one datagram; the platform takes 256 bytes
+	maxBytes = 1 + maxNotes*noteSize
+	markBits = 1<<24 - 1 // of a server's hash
+
+	flagAnswered, flagSilent = 1, 2
+)
+
+// Mark names a server in notes: the lowest bits of a hash of its id that is the same at every node. With 60 servers
+// two share one in one fleet of 10,000, and are then judged together.
+type Mark uint32
+
+// MarkOf takes the mark out of a hash.
+func MarkOf(hash uint64) Mark { return Mark(hash & markBits) }
+
+// Note is what one node met at one server since its last note.
+type Note struct {
+	Server   Mark
+	Seen     int  // attempts that ended, at most 7
+	Bad      int  // of them: slow or failed
+	Answered bool // it answered after the node had believed it down
+	Silent   bool // the node believes that it is down
+}
+
+// Ledger collects a node's own notes until they are taken.
+type Ledger struct{ notes []Note }
+
+func (l *Ledger) note(m Mark) *Note {
+	for i := range l.notes {
+		if l.notes[i].Server == m {
+			return &l.notes[i]
+		}
+	}
+	l.notes = append(l.notes, Note{Server: m})
+	return &l.notes[len(l.notes)-1]
+}
+
+// Saw notes an attempt that ended.
+func (l *Ledger) Saw(m Mark, bad bool) {
+	n := l.note(m)
+	if n.Seen == maxCount {
+		return // a sample is enough
+	}
+	n.Seen++
+	if bad {
+		n.Bad++
+	}
+}
+
+// Alive notes a sign of life.
+func (l *Ledger) Alive(m Mark) {
+	n := l.note(m)
+	n.Answered, n.Silent = true, false
+}
+
+// Silent notes that a server is believed down.
+func (l *Ledger) Silent(m Mark) {
+	n := l.note(m)
+	n.Answered, n.Silent = false, true
+}
+
+// Take returns a datagram with the notes collected, the worst first where they don't all fit, or nil without any.
+// Those that don't fit stay for the next.
+func (l *Ledger) Take() []byte {
+	if len(l.notes) == 0 {
+		return nil
+	}
+	if len(l.notes) > maxNotes {
+		slices.SortStableFunc(l.notes, func(a, b Note) int { return b.weight() - a.weight() })
+	}
+	n := min(len(l.notes), maxNotes)
+	b := append(make([]byte, 0, 1+n*noteSize), version)
+	for _, note := range l.notes[:n] {
+		flags := byte(0)
+		if note.Answered {
+			flags |= flagAnswered
+		}
+		if note.Silent {
+			flags |= flagSilent
+		}
+		m := note.Server
+		b = append(b, byte(m>>16), byte(m>>8), byte(m), byte(note.Seen<<5|note.Bad<<2)|flags)
+	}
+	l.notes = slices.Delete(l.notes, 0, n)
+	return b
+}
+
+func (n Note) weight() int {
+	if n.Silent {
+		return 2 * maxCount
+	}
+	return n.Bad
+}
+
+// ErrMalformed is returned for a datagram that no node of this version sent.
+var ErrMalformed = errors.New("gossip: malformed datagram")
+
+// Decode reads a datagram. A malformed one counts for nothing, not even in part.
+func Decode(b []byte) ([]Note, error) {
+	if len(b) < 1+noteSize || len(b) > maxBytes || b[0] != version || (len(b)-1)%noteSize != 0 {
+		return nil, ErrMalformed
+	}
+	notes := make([]Note, 0, (len(b)-1)/noteSize)
+	for b = b[1:]; len(b) > 0; b = b[noteSize:] {
+		n := Note{Server: Mark(b[0])<<16 | Mark(b[1])<<8 | Mark(b[2]), Seen: int(b[3] >> 5), Bad: int(b[3] >> 2 & maxCount),
+			Answered: b[3]&flagAnswered != 0, Silent: b[3]&flagSilent != 0}
+		if n.Bad > n.Seen || n.Answered && n.Silent {
+			return nil, ErrMalformed
+		}
+		notes = append(notes, n)
+	}
+	return notes, nil
+}
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,170 @@
+package gossip
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestNotesComeBackAsTheyWere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l Ledger
+		want := map[Mark]*Note{}
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			m := Mark(rapid.IntRange(0, 70).Draw(t, "server") << 17)
+			n := want[m]
+			if n == nil {
+				n = &Note{Server: m}
+				want[m] = n
+			}
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				l.Alive(m)
+				n.Answered, n.Silent = true, false
+			case 1:
+				l.Silent(m)
+				n.Answered, n.Silent = false, true
+			default:
+				bad := rapid.Bool().Draw(t, "bad")
+				l.Saw(m, bad)
+				if n.Seen < maxCount {
+					if n.Seen++; bad {
+						n.Bad++
+					}
+				}
+			}
+		}
+		for data := l.Take(); data != nil; data = l.Take() {
+			if len(data) > 256 {
+				t.Fatalf("a datagram of %d bytes", len(data))
+			}
+			notes, err := Decode(data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, n := range notes {
+				if w := want[n.Server]; w == nil || !reflect.DeepEqual(*w, n) {
+					t.Fatalf("read %+v, want %+v", n, w)
+				}
+				delete(want, n.Server)
+			}
+		}
+		if len(want) != 0 {
+			t.Fatalf("%d notes were lost", len(want))
+		}
+	})
+}
+
+func TestMalformedDatagramsCountForNothing(t *testing.T) {
+	good := []byte{version, 0, 0, 7, 2<<5 | 1<<2, 0, 0, 8, flagSilent}
+	for name, b := range map[string][]byte{
+		"empty":               {},
+		"no note":             {version},
+		"another version":     append([]byte{9}, good[1:]...),
+		"cut short":           good[:7],
+		"too long":            append([]byte{version}, bytes.Repeat([]byte{0, 0, 1, 1 << 5}, maxNotes+1)...),
+		"more bad than seen":  {version, 0, 0, 7, 1<<5 | 2<<2},
+		"silent and answered": {version, 0, 0, 7, flagSilent | flagAnswered},
+	} {
+		if notes, err := Decode(b); err == nil || notes != nil {
+			t.Errorf("%s: read as %v", name, notes)
+		}
+	}
+	if notes, err := Decode(good); err != nil || len(notes) != 2 || !notes[1].Silent {
+		t.Errorf("%v, %v", notes, err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte{version, 0, 0, 7, 2<<5 | 1<<2})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		notes, err := Decode(b)
+		for _, n := range notes {
+			if err != nil || n.Bad > n.Seen || n.Seen > maxCount {
+				t.Fatalf("%v, %v", notes, err)
+			}
+		}
+	})
+}
+
+func TestShareOfSlots(t *testing.T) {
+	for _, test := range []struct{ bad, all, want float64 }{
+		{0, 0, 1}, {0.3, 0, 1}, {0.45, 0, 0.5}, {1, 0, keepLeast}, {1, 1, 1}, {0.9, 0.8, 1}, {0.6, 0.1, 1.0 / 3},
+	} {
+		o := NewOpinion(1)
+		if o.Judge(test.bad, test.all); o.Keep < test.want-1e-9 || o.Keep > test.want+1e-9 {
+			t.Errorf("%v bad where all are %v: keeps %v, want %v", test.bad, test.all, o.Keep, test.want)
+		}
+	}
+}
+
+// TestWitnesses: one node that is cut off must not take a server from all the others.
+func TestWitnesses(t *testing.T) {
+	type word struct {
+		at     Time
+		from   int
+		failed bool
+	}
+	for name, test := range map[string]struct {
+		words []word
+		want  bool
+	}{
+		"one, again and again":     {[]word{{0, 3, false}, {time.Second, 3, false}}, false},
+		"two":                      {[]word{{0, 3, false}, {time.Second, 4, false}}, true},
+		"two, long apart":          {[]word{{0, 3, false}, {3 * time.Second, 4, false}}, false},
+		"one, and its own attempt": {[]word{{0, 3, true}}, true},
+	} {
+		o, got := NewOpinion(1), false
+		for _, w := range test.words {
+			got = o.Witness(w.at, w.from, w.failed)
+		}
+		if got != test.want {
+			t.Errorf("%s: believed %v", name, got)
+		}
+	}
+}
+
+// TestTalkIsPaidFor: nothing is told of a server that is well, less the more is known, good and bad alike, and not
+// by all nodes at once.
+func TestTalkIsPaidFor(t *testing.T) {
+	well, ill := NewOpinion(1), NewOpinion(2)
+	well.Judge(0.05, 0)
+	ill.Judge(0.6, 0)
+	talk := Talk{Nodes: 80}
+	for i := range 100 {
+		talk.Saw(&well, 1, true, float64(i)/100)
+	}
+	if b := talk.Due(time.Hour, 0); b != nil {
+		t.Errorf("told %v of a server that is well", b)
+	}
+	told := func(timings float64, bad bool) (n int) {
+		for i := range 1000 {
+			var one Talk
+			one.Saw(&ill, timings, bad, float64(i)/1000)
+			n += len(one.notes)
+		}
+		return n
+	}
+	if few, many := told(2, true), told(30, true); few != 1000 || many > 20 {
+		t.Errorf("of 1000 timings %d are told where few are known and %d where many are", few, many)
+	}
+	if good, bad := told(12, false), told(12, true); good != bad {
+		t.Errorf("%d good ones are told and %d bad ones", good, bad)
+	}
+	sent := 0
+	for now := Time(0); now < 10*time.Second; now += 10 * time.Millisecond {
+		talk.Silent(1)
+		if talk.Due(now, 0.5) != nil {
+			sent++
+		}
+	}
+	if sent > 27 { // 80 nodes, 5 ms each
+		t.Errorf("%d datagrams in 10 s", sent)
+	}
+	if mute := (Talk{Mute: true, Ledger: Ledger{notes: []Note{{Silent: true}}}}); mute.Due(0, 0) != nil {
+		t.Error("a datagram where none is allowed")
+	}
+}
--- /dev/null
+++ b/internal/gossip/opinion.go
@@ -0,0 +1,75 @@
+package gossip
+
+import "time"
+
+// Time is a point on the caller's clock.
+type Time = time.Duration
+
+const (
+	outlier   = 0.3                    // utilisation over that of all servers from which one gives slots up
+	keepLeast = 0.05                   // share of its slots that one keeps, or nobody would see it mend
+	doubt     = 0.1                    // utilisation over that of all from which others are told of it
+	sample    = 6.0                    // recent timings of a server past which fewer are told
+	pace      = 5 * time.Millisecond   // between the datagrams of two nodes: each hears 200 a second at most
+	soonest   = 250 * time.Millisecond // between two datagrams of one node
+	together  = 2 * time.Second        // two nodes that tell within it that a server is silent agree
+)
+
+// Opinion is what a node makes of one server from its own timings and those that it was told of.
+type Opinion struct {
+	Mark Mark
+	Keep float64 // share of its slots that the server keeps: 1 unless it is an outlier
+
+	excess float64 // utilisation over that of all servers
+	toldAt Time    // when another node last told that it is silent
+	toldBy int     // that node
+}
+
+// NewOpinion is that of a server nothing is known of.
+func NewOpinion(m Mark) Opinion { return Opinion{Mark: m, Keep: 1, toldBy: -1} }
+
+// Judge takes the share of bad timings of this server and of all. A server keeps all its slots unless it is slow or
+// fails far more often than the others do: what is bad everywhere is a crowd and no one server's fault.
+func (o *Opinion) Judge(bad, all float64) {
+	o.excess = bad - all
+	o.Keep = max(keepLeast, min(1, 2-o.excess/outlier))
+}
+
+// Witness takes it that another node believes the server silent, and tells whether to believe it: where this node's
+// own attempt failed, or where a second node says so.
+func (o *Opinion) Witness(now Time, from int, failed bool) bool {
+	second := o.toldBy >= 0 && o.toldBy != from && now-o.toldAt < together
+	o.toldAt, o.toldBy = now, from
+	return failed || second
+}
+
+// Talk decides what a node tells the others, and when.
+type Talk struct {
+	Ledger
+	Mute  bool // messages are not allowed: nothing is told
+	Nodes int  // of the fleet
+	at    Time
+}
+
+// Saw notes an attempt at a server under doubt. The more timings of it there were of late, told ones too, the smaller
+// is the share of them that is told; the lot is drawn from 0 to 1. Good and bad are told alike, so the share is true.
+func (t *Talk) Saw(o *Opinion, timings float64, bad bool, lot float64) {
+	p := sample / max(sample, timings)
+	if o.excess > doubt && lot < p*p*p {
+		t.Ledger.Saw(o.Mark, bad)
+	}
+}
+
+// Due returns a datagram when it is time for one and there is something to tell. The lot, from 0 to 1, keeps nodes
+// that started together from speaking together.
+func (t *Talk) Due(now Time, lot float64) []byte {
+	if t.Mute {
+		t.notes = nil
+	}
+	if now < t.at {
+		return nil
+	}
+	every := max(soonest, pace*time.Duration(t.Nodes))
+	t.at = now + every/2 + time.Duration(lot*float64(every))
+	return t.Take()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	Known    discovery.List
 	Source   discovery.Source
 	Upstream func(s discovery.Server, origin bool, report func(*forward.Forward, forward.Answer)) Upstream
+	Tell     func([]byte) error // sends a datagram to all other nodes; nil where they may not be told
 	Count    *counters.Counters
 	Log      *slog.Logger
 }
@@ -120,6 +121,16 @@
 // Gone is called by listeners when the client of a flow that is owed an answer has left.
 func (n *Node) Gone(f *flow.Flow) { n.post(n.queue, func() { n.gone(f) }) }
 
+// Heard hands over a datagram of another node. While the loop is behind they are dropped: requests go first.
+func (n *Node) Heard(from int, data []byte) {
+	n.opt.Count.PeersHeard.Add(1)
+	select {
+	case n.queue <- func() { n.tell(brain.Heard{From: from, Data: data}) }:
+	default:
+		n.opt.Count.PeersDropped.Add(1)
+	}
+}
+
 // Drain makes the node answer everything it has taken by a time. The channel is closed when that is done.
 func (n *Node) Drain(by time.Time) <-chan struct{} {
 	n.post(n.queue, func() {
@@ -225,6 +236,15 @@
 		n.at(n.systemTime(a.At), func() { n.tell(brain.Timer{Token: a.Token}) })
 	case brain.Subscribe:
 		n.subscribe()
+	case brain.Tell:
+		if n.opt.Tell == nil {
+			return
+		}
+		if err := n.opt.Tell(a.Data); err != nil {
+			n.opt.Count.PeersDropped.Add(1)
+		} else {
+			n.opt.Count.PeersTold.Add(1)
+		}
 	case brain.Log:
 		n.opt.Log.Info(a.Text, logs.Event, "module")
 	default:
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -2,6 +2,7 @@
 package wire
 
 import (
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -43,6 +44,8 @@
 	Records  []Record        `json:"records"`
 	Nonce    uint64          `json:"nonce64"`
 	Setup    json.RawMessage `json:"setup"`
+	SrcPeer  int             `json:"src_peer"`
+	Bytes    string          `json:"bytes"`
 }
 
 // Record is one entry of a server list.
@@ -98,6 +101,12 @@
 		return brain.Timer{Token: m.KeyBack}, nil
 	case "DROPPED":
 		return brain.Gone{ID: m.ID}, nil
+	case "MESSAGE":
+		data, err := hex.DecodeString(m.Bytes)
+		if err != nil {
+			return nil, fmt.Errorf("MESSAGE: field bytes: %w", err)
+		}
+		return brain.Heard{From: m.SrcPeer, Data: data}, nil
 	case "ESTABLISHED":
 		return brain.Streaming{ID: m.ID, Attempt: m.SeqNo}, nil
 	case "HEALTH":
@@ -138,6 +147,7 @@
 	Time       *int64  `json:"time,omitempty"`
 	KeyBack    *uint64 `json:"key_back,omitempty"`
 	On         bool    `json:"on,omitempty"`
+	Bytes      string  `json:"bytes,omitempty"`
 	ReasonText string  `json:"reason_text,omitempty"`
 }
 
@@ -172,6 +182,8 @@
 		return Output{Type: "TIMER", Time: &at, KeyBack: &a.Token}, nil
 	case brain.Subscribe:
 		return Output{Type: "SUBSCRIBE", On: true}, nil
+	case brain.Tell: // without a peer it goes to all
+		return Output{Type: "SAY", Bytes: hex.EncodeToString(a.Data)}, nil
 	case brain.Log:
 		return Output{Type: "RECORD", ReasonText: a.Text}, nil
 	}
--- a/tests/rig_test.go
+++ b/tests/rig_test.go
@@ -292,10 +292,11 @@
 // target is a cache server. Its handler returns the bytes of an answer, or none to stay silent; it runs in the
 // order of the commands of a connection.
 type target struct {
-	addr string
-	mu   sync.Mutex
-	got  [][]string
-	open int
+	addr  string
+	close func() // takes no more connections
+	mu    sync.Mutex
+	got   [][]string
+	open  int
 }
 
 func newTarget(t *testing.T, handle func(args []string) string) *target {
@@ -304,7 +305,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	s := &target{addr: ln.Addr().String()}
+	s := &target{addr: ln.Addr().String(), close: func() { ln.Close() }}
 	go func() {
 		for {
 			c, err := ln.Accept()
