--- a/brain/brain.go
+++ b/brain/brain.go
@@ -176,7 +176,9 @@
 		if s == nil || s == r.origin {
 			continue
 		}
-		s.gauge.add(r.now, float64(n.Seen), float64(n.Bad))
+		if s.gauge.n < 2*enough { // else this router knows enough itself
+			s.gauge.add(r.now, float64(n.Seen), float64(n.Bad))
+		}
 		r.judge(s)
 		switch heard := r.now - s.heard; {
 		case n.Answered && s.silent && r.now-s.since > askEvery || !s.silent && n.Seen > n.Bad:
