--- a/brain/brain.go
+++ b/brain/brain.go
@@ -633,7 +633,7 @@
 		}
 		r.judge(s)
 		r.moveOn(s)
-		patience := max(r.pool.target, upkeepEvery)
+		patience := max(r.pool.max, upkeepEvery)
 		quiet := r.now - max(s.gauge.oldest(r.now), s.heard)
 		if s.silent && r.now-s.probeAt > max(askEvery, r.pace*time.Duration(r.set.Routers)) ||
 			!s.silent && quiet > patience && r.now-s.probeAt > patience {
--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -32,6 +32,10 @@
 // unsent is how long before the last moment connections are closed with what they could not take.
 const unsent = 200 * time.Millisecond
 
+// sharedFor is how old the forward may be that another is written behind: past that it is slow, and so would be the
+// one behind it. A hit takes 30 to 100 ms on the machines that the deployment names, and the shortest aim is 520 ms.
+const sharedFor = 100 * time.Millisecond
+
 // daemon is the running node and what signals do to it.
 type daemon struct {
 	cfg   *config.Config
@@ -120,6 +124,9 @@
 	targets, origins := forward.NewBudget(start[admission.Targets]), forward.NewBudget(start[admission.Origin])
 	limits := forward.Limits{Connect: cfg.Node.ConnectTimeout, Idle: cfg.Node.ConnIdle * 8 / 10,
 		Streams: cfg.Node.Streams, Conns: op.Pools.Connections, Waiting: op.Pools.Waiting}
+	if cfg.Module.HandshakePrice > 0 {
+		limits.Share = sharedFor
+	}
 	originLimits := limits
 	originLimits.Streams, originLimits.Conns = 1, cfg.Sockets // the budget bounds them
 
--- /dev/null
+++ b/internal/forward/growth_test.go
@@ -0,0 +1,103 @@
+package forward_test
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"shelfproxy/internal/flow"
+	"shelfproxy/internal/forward"
+	"shelfproxy/internal/target"
+)
+
+// server answers each command once it is told to, and counts its connections.
+type server struct {
+	addr   string
+	opened atomic.Int64
+	seen   chan string
+	answer chan struct{}
+}
+
+func newServer(t *testing.T) *server {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	s := &server{addr: ln.Addr().String(), seen: make(chan string, 64), answer: make(chan struct{}, 64)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.opened.Add(1)
+			go func() {
+				defer c.Close()
+				for rd := redcon.NewReader(c); ; {
+					cmd, err := rd.ReadCommand()
+					if err != nil {
+						return
+					}
+					s.seen <- string(cmd.Args[1])
+					<-s.answer
+					c.Write([]byte("*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n"))
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+// TestConnectionsFollowUse: a forward that finds the only connection at work is written behind, as long as that one is
+// young; use that goes on brings a second connection, and no third.
+func TestConnectionsFollowUse(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		share time.Duration
+		fresh bool
+		want  []int64 // connections opened after each round of two forwards at once
+	}{
+		{"shared while young", time.Hour, false, []int64{1, 1, 2, 2, 2}},
+		{"never shared", 0, false, []int64{2, 2}},
+		{"what must not run twice has its own", time.Hour, true, []int64{2, 4}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newServer(t)
+			ended := make(chan forward.End, 8)
+			p := forward.NewPool(s.addr, target.Codec{}, forward.Limits{Connect: 10 * time.Second, Idle: time.Minute,
+				Streams: 32, Conns: 8, Waiting: 8, Share: test.share}, forward.NewBudget(8),
+				func(_ *forward.Forward, a forward.Answer) { ended <- a.End }, func() {})
+			t.Cleanup(func() { p.Update(s.addr, true) })
+			send := func(key string) {
+				f := &forward.Forward{Flow: &flow.Flow{Key: []byte(key), ID: []byte(key)}, Sent: time.Now(),
+					Deadline: time.Now().Add(time.Minute), Fresh: test.fresh}
+				if end, ok := p.Send(f); !ok {
+					t.Fatalf("%s ended at once: %v", key, end)
+				}
+			}
+			for round, want := range test.want {
+				send("a")
+				<-s.seen // its connection is at work now
+				send("b")
+				for end := time.Now().Add(10 * time.Second); s.opened.Load() < want && time.Now().Before(end); {
+					time.Sleep(time.Millisecond) // else the first one could be free before the second one is there
+				}
+				s.answer <- struct{}{}
+				s.answer <- struct{}{}
+				for range 2 {
+					if end := <-ended; end != forward.Served {
+						t.Fatalf("round %d: ended as %v", round, end)
+					}
+				}
+				<-s.seen
+				if got := s.opened.Load(); got != want {
+					t.Errorf("round %d: %d connections were opened, want %d", round, got, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -63,6 +63,7 @@
 	Streams int           // forwards on one connection
 	Conns   int           // connections of one pool
 	Waiting int           // forwards that wait for a connection
+	Share   time.Duration // a forward goes behind one that has been out for less, rather than on a new connection
 }
 
 // Budget counts the descriptors that several pools share.
@@ -115,6 +116,7 @@
 	idle    []*conn // the one used last is at the end
 	waiting []*Forward
 	dialing int
+	growth  growth
 	left    bool // the server drains or is gone: nothing new is written
 }
 
@@ -158,6 +160,10 @@
 		c.push(f)
 		return 0, true
 	}
+	if c := p.young(f); c != nil && !p.growth.want(time.Duration(time.Now().UnixNano())) {
+		c.push(f)
+		return 0, true
+	}
 	if p.dial() {
 		p.waiting = append(p.waiting, f)
 		return 0, true
@@ -187,6 +193,22 @@
 	return 0, true
 }
 
+// young finds a connection with one forward out, and that for no more than a moment: an answer behind it will be little
+// later than on a connection that has to come up first. A probe must not wait behind others, nor they behind it.
+func (p *Pool) young(f *Forward) *conn {
+	if f.Flow == nil || f.Fresh || p.limits.Streams < 2 {
+		return nil
+	}
+	for _, c := range p.conns {
+		if len(c.pending) == 1 && !c.closed {
+			if h := c.pending[0]; h.Flow != nil && !h.given && time.Since(h.Sent) < p.limits.Share {
+				return c
+			}
+		}
+	}
+	return nil
+}
+
 // withdraw takes a forward out of those that wait for a connection, if it still does, and tells how it ends.
 func (p *Pool) withdraw(f *Forward) (End, bool) {
 	p.mu.Lock()
