--- a/brain/brain.go
+++ b/brain/brain.go
@@ -46,6 +46,7 @@
 	pace        = 10 * time.Millisecond   // between two routers' probes of a server believed silent
 	paceTold    = 50 * time.Millisecond   // the same where the one that finds it back tells the others
 	askEvery    = time.Second             // first wait before asking the list or a silent server again
+	listPace    = 50 * time.Millisecond   // between calls for the list: one service serves all
 	housekeep   = uint64(1) << 62         // timer tokens from here on are not request ids
 	upkeepEvery = 250 * time.Millisecond
 )
@@ -645,25 +646,24 @@
 	}
 	if r.set.MustAsk && r.asking && r.now >= r.askAt {
 		r.act(Subscribe{})
-		r.askWait = min(2*r.askWait, 16*askEvery)
+		r.askWait = min(2*r.askWait, max(16*askEvery, r.askFirst()))
 		r.askAt = r.now + 10*askEvery // a call that is never answered is made again
 	}
 }
 
-// list follows the server list. A failed call is repeated with growing, jittered waits; the last list
-// serves meanwhile.
+// list follows the server list. A failed call is made again after growing waits; the last list serves then.
 func (r *Router) list(e List) {
 	if !r.ticking {
-		r.ticking, r.asking, r.askAt = true, true, r.now
-		r.act(SetTimer{At: r.now + r.set.Tick, Token: housekeep})
+		r.ticking, r.asking, r.askAt = true, true, r.now+r.jitter(listPace*time.Duration(r.set.Routers))
+		r.act(SetTimer{At: r.now + r.jitter(upkeepEvery), Token: housekeep})
 	}
 	switch e.Scope {
 	case Failed:
 		r.asking = true
-		r.askAt = r.now + r.askWait/2 + time.Duration(r.rng.Int64N(int64(r.askWait)))
+		r.askAt = r.now + r.jitter(r.askWait)
 		return
 	case Changes, Full:
-		r.asking, r.askWait = false, askEvery
+		r.asking, r.askWait = false, r.askFirst()
 	}
 	if e.Scope != Changes {
 		for _, s := range r.servers {
--- a/brain/gossip_test.go
+++ b/brain/gossip_test.go
@@ -201,3 +201,41 @@
 		t.Error("a malformed message counted")
 	}
 }
+
+// TestListCallsOfAFleetAreSpread: routers that start together, or lose their watches together, do not call together,
+// each has one call out at a time, and the list they hold serves meanwhile.
+func TestListCallsOfAFleetAreSpread(t *testing.T) {
+	set := testSettings()
+	set.Routers, set.MustAsk = 80, true
+	var routers []*bench
+	for i := range set.Routers {
+		b := newBench(t, set)
+		b.r.rng = rand.New(rand.NewPCG(uint64(i), 3))
+		b.r.ticking = false
+		b.do(List{Scope: Cached, Servers: []Server{{ID: "s1", Kind: "cache", Zone: "a", Units: 1}}})
+		routers = append(routers, b)
+	}
+	calls := func(steps int) (total, most int) {
+		for range steps {
+			n := 0
+			for _, b := range routers {
+				b.now += upkeepEvery
+				n += len(find[Subscribe](b.do(Timer{housekeep})))
+			}
+			total, most = total+n, max(most, n)
+		}
+		return total, most
+	}
+	for round, within := range []time.Duration{4 * time.Second, 8 * time.Second} {
+		total, most := calls(int(within/upkeepEvery) + 1)
+		if total != 80 || most > 14 {
+			t.Fatalf("round %d: %d calls in %v, %d of them within %v; want one each, spread", round, total, within, most, upkeepEvery)
+		}
+		for _, b := range routers {
+			if _, actions := b.ask("high", "k", nil); b.sentTo(actions) != "s1" {
+				t.Fatal("the list that is held should serve")
+			}
+			b.do(List{Scope: Failed})
+		}
+	}
+}
--- a/brain/router.go
+++ b/brain/router.go
@@ -148,7 +148,7 @@
 		tenants: map[string]*tenant{}, byID: map[string]*server{}, unreached: map[string]int{},
 		requests: map[uint64]*request{}, flights: map[string]*flight{}, keys: map[string]float64{},
 		byMark: map[gossip.Mark]*server{}, talk: gossip.Talk{Mute: !set.Peers, Nodes: set.Routers},
-		one: 1, askWait: askEvery, budgets: map[*Class]*admission.Budget{}}
+		one: 1, budgets: map[*Class]*admission.Budget{}}
 	if err := set.validate(); err != nil {
 		return nil, err
 	}
@@ -166,6 +166,7 @@
 	}
 	r.pool.objectives = r.objectives()
 	r.pool.floor = time.Duration(float64(r.pool.limit) * poolFloor)
+	r.askWait = r.askFirst()
 	if r.pace = pace; set.Peers {
 		r.pace = paceTold
 	}
@@ -245,6 +246,16 @@
 	}
 }
 
+// jitter is full jitter: any moment up to a wait, so that routers which had the same news do not act on it together.
+func (r *Router) jitter(wait time.Duration) time.Duration {
+	return time.Duration(r.rng.Int64N(int64(max(wait, 1))))
+}
+
+// askFirst is the time over which routers spread their calls for the list, the first time.
+func (r *Router) askFirst() time.Duration {
+	return max(askEvery, listPace*time.Duration(r.set.Routers))
+}
+
 // add takes timings that another router told of.
 func (g *gauge) add(now Time, n, bad float64) {
 	g.age(now)
