--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -9,22 +9,22 @@
 
 // Counters may be used from any goroutine.
 type Counters struct {
-	Accepted, AcceptFailed, WriteFailed                   atomic.Int64 // the clients' connections
-	Silent, Idle, Evicted, Stuck                          atomic.Int64 // closed by the node: said nothing, had no more to say, for room, took no answers
-	Malformed, BadFraming, Duplicate                      atomic.Int64 // commands that are no request
-	Opened, OriginOpened                                  atomic.Int64 // connections to servers
-	Moves                                                 atomic.Int64 // descriptors that were moved from one use to another, in times
-	Probes, Watches, Lists, WatchesBroken, WatchesGarbage atomic.Int64
-	PeersTold, PeersHeard, PeersForeign, PeersDropped     atomic.Int64 // datagrams: sent, taken, from elsewhere or too long, lost here
-	Reloads, ReloadsBad                                   atomic.Int64 // configurations read again, and those that were no good
-	Late                                                  atomic.Int64 // answers of servers that came after their flow's end
-	Gone                                                  atomic.Int64 // flows whose client left first
-	classes                                               []string
-	answers                                               []string
-	ends                                                  []string
-	in, sent                                              []atomic.Int64 // by class
-	answered                                              []atomic.Int64 // by class and answer
-	ended                                                 []atomic.Int64 // by class and end
+	Accepted, AcceptFailed, WriteFailed                                 atomic.Int64 // the clients' connections
+	Silent, Idle, Evicted, Stuck                                        atomic.Int64 // closed by the node: said nothing, had no more to say, for room, took no answers
+	Malformed, BadFraming, Duplicate                                    atomic.Int64 // commands that are no request
+	Opened, OriginOpened                                                atomic.Int64 // connections to servers
+	Moves                                                               atomic.Int64 // descriptors that were moved from one use to another, in times
+	Probes, Watches, Lists, WatchesBroken, WatchesGarbage, ListsRefused atomic.Int64
+	PeersTold, PeersHeard, PeersForeign, PeersDropped                   atomic.Int64 // datagrams: sent, taken, from elsewhere or too long, lost here
+	Reloads, ReloadsBad                                                 atomic.Int64 // configurations read again, and those that were no good
+	Late                                                                atomic.Int64 // answers of servers that came after their flow's end
+	Gone                                                                atomic.Int64 // flows whose client left first
+	classes                                                             []string
+	answers                                                             []string
+	ends                                                                []string
+	in, sent                                                            []atomic.Int64 // by class
+	answered                                                            []atomic.Int64 // by class and answer
+	ended                                                               []atomic.Int64 // by class and end
 }
 
 // New makes counters for these classes, kinds of final answers and ends of forwards.
@@ -75,6 +75,7 @@
 	line(&c.WatchesBroken, "discovery_watches_broken")
 	line(&c.WatchesGarbage, "discovery_watches_garbage")
 	line(&c.Lists, "discovery_lists")
+	line(&c.ListsRefused, "discovery_lists_refused")
 	line(&c.PeersTold, "peers_told")
 	line(&c.PeersHeard, "peers_heard")
 	line(&c.PeersForeign, "peers_foreign")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,7 +72,7 @@
 	stopWatch func()
 	watch     int // number of the current watch; reports of earlier ones are dropped
 	healthy   bool
-	version   int64
+	held      discovery.Guard
 }
 
 // state is a flow as the node keeps it until nothing of it is out.
@@ -147,6 +147,7 @@
 func (n *Node) Run(stop <-chan struct{}) {
 	defer n.in.close()
 	defer close(n.stopped)
+	n.held.Held(n.opt.Known.Version)
 	n.list(n.opt.Known, brain.Cached)
 	timer := time.NewTimer(0)
 	for {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -16,7 +16,6 @@
 // list takes news of the list: the pools learn of it first, so that nothing queued before goes to a server that
 // has left, then the module.
 func (n *Node) list(l discovery.List, scope brain.ListScope) {
-	n.version = l.Version
 	event := brain.List{Scope: scope}
 	named := map[string]bool{}
 	for _, d := range l.Servers {
@@ -86,7 +85,7 @@
 	n.opt.Count.Watches.Add(1)
 	n.watch++
 	number := n.watch
-	n.stopWatch = n.opt.Source.Watch(n.version, func(l discovery.List, err error) {
+	n.stopWatch = n.opt.Source.Watch(n.held.Version(), func(l discovery.List, err error) {
 		n.post(n.lists, func() { n.watched(number, l, err) })
 	})
 }
@@ -102,15 +101,28 @@
 
 // watched takes a report of a watch. One that broke is told to the module, which asks anew in its own time.
 func (n *Node) watched(number int, l discovery.List, err error) {
+	if number != n.watch {
+		return
+	}
+	refused := false
+	if err == nil {
+		if err = n.held.Take(l); err != nil {
+			refused = true
+			n.stopWatch()
+		}
+	}
 	switch {
-	case number != n.watch:
 	case err != nil:
-		if errors.Is(err, discovery.ErrGarbage) {
+		switch {
+		case refused:
+			n.opt.Count.ListsRefused.Add(1)
+		case errors.Is(err, discovery.ErrGarbage):
 			n.opt.Count.WatchesGarbage.Add(1)
-		} else {
+		default:
 			n.opt.Count.WatchesBroken.Add(1)
 		}
-		n.opt.Log.Warn("the watch on discovery ended", logs.Event, "watch_ended", "error", err.Error())
+		n.opt.Log.Warn("the watch on discovery ended; the list held before stays", logs.Event, "watch_ended",
+			"error", err.Error(), "held", n.held.Version(), "came", l.Version)
 		n.healthy, n.watch = false, n.watch+1
 		n.tell(brain.List{Scope: brain.Failed})
 	default:
