--- a/internal/discovery/guard.go
+++ b/internal/discovery/guard.go
@@ -28,6 +28,9 @@
 	if l.Whole && len(l.Servers) == 0 {
 		return ErrEmpty
 	}
+	if l.Version < g.version && len(l.Servers) == 0 {
+		return nil // no news, whatever it is called
+	}
 	if l.Version < g.version && !g.stale {
 		g.stale = true
 		return ErrStale
--- a/internal/discovery/guard_test.go
+++ b/internal/discovery/guard_test.go
@@ -14,6 +14,7 @@
 		"in order":                       {[]List{change(41), change(42, gone), whole(50, up)}, []error{nil, nil, nil}, 50},
 		"empty, each time":               {[]List{whole(42), whole(43), change(44, gone)}, []error{ErrEmpty, ErrEmpty, nil}, 44},
 		"all drain":                      {[]List{whole(42, gone)}, []error{nil}, 42},
+		"older, but without news":        {[]List{change(40), change(42, gone)}, []error{nil, nil}, 42},
 		"no change at all":               {[]List{change(41)}, []error{nil}, 41},
 		"stale once":                     {[]List{whole(40, up), change(42, gone)}, []error{ErrStale, nil}, 42},
 		"counts anew, which is believed": {[]List{whole(3, up), whole(3, up), change(4, gone)}, []error{ErrStale, nil, nil}, 4},
