--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -17,7 +17,7 @@
 	`{"type":"ANNOUNCE","scope":"cached","serial":1,"bank":2}]}]}`
 
 func batch(events string) string {
-	return `{"now":1075455,"parts":[{"router":"router/0","inbox":[` + events + `]}]}`
+	return `{"now":1005000,"parts":[{"router":"router/0","inbox":[` + events + `]}]}`
 }
 
 const ask = `{"type":"ASK","request_id":41,"deadline":2000000,"route_key":"item/a","band":"get"}`
@@ -38,7 +38,7 @@
 	}
 	want := []string{
 		`{"parts":[]}`,
-		`{"parts":[{"router":"router/0","output":[{"type":"TIMER","time":1005000,"key_back":4611686018427387904}]}]}`,
+		`{"parts":[{"router":"router/0","output":[{"type":"TIMER","time":1075455,"key_back":4611686018427387904}]}]}`,
 		`{"parts":[{"router":"router/0","output":[{"type":"SEND","request_id":41,"server":"10.0.0.1:1"}]}]}`,
 		`{"parts":[{"router":"router/0","output":[{"type":"SEND","request_id":41,"server":"10.0.0.9:1"}]}]}`,
 		`{"parts":[]}`,
