--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
 	"sync"
 	"syscall"
 	"time"
@@ -45,6 +46,8 @@
 	node  *node.Node
 	front *listener.Listener
 
+	memory           admission.Memory
+	pressure         float64 // as the node was told
 	split            *admission.Split
 	targets, origins *forward.Budget
 }
@@ -76,6 +79,7 @@
 			d.reload()
 		case <-looks.C:
 			d.divide(time.Since(begun))
+			d.weigh(time.Since(begun))
 		case <-usr:
 			d.tally()
 		case <-term:
@@ -139,7 +143,7 @@
 	if module.Peers = socket != nil; module.Peers {
 		tell = socket.Tell
 	}
-	n, err := node.New(node.Options{Tell: tell, Module: module, Seed: cfg.Seed, MaxOpen: cfg.Node.MaxOpen, MaxWait: cfg.Node.LongestWait,
+	n, err := node.New(node.Options{Tell: tell, Module: module, Seed: cfg.Seed, MaxOpen: cfg.Node.MaxOpen, MaxHeld: cfg.MemoryMB << 20 / heldShare, MaxWait: cfg.Node.LongestWait,
 		Known: cfg.Known, Source: &discovery.Client{Addr: cfg.Discovery}, Count: count, Log: logs.Component(log, "node"),
 		Upstream: func(s discovery.Server, isOrigin bool, report func(*forward.Forward, forward.Answer)) node.Upstream {
 			if isOrigin {
@@ -159,9 +163,9 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	front := listener.New(ln, n, classes, listener.Limits{Conns: start[admission.Clients],
-		Pipelined: op.Listener.Pipelined, Value: 64 << 10, Write: op.Listener.Write.D(), Silent: op.Listener.Silent.D(),
+		Pipelined: min(op.Listener.Pipelined, max(leastPipelined, cfg.MemoryMB/pipelinedMB)), Value: 64 << 10, Write: op.Listener.Write.D(), Silent: op.Listener.Silent.D(),
 		Crowd: op.Listener.IdleCrowded.D(), Idle: op.Listener.Idle.D(), Owed: cfg.MemoryMB << 20 / 6}, count)
-	return &daemon{cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front,
+	return &daemon{memory: admission.Memory{Limit: int64(cfg.MemoryMB) << 20}, cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front,
 		split: admission.NewSplit(split), targets: targets, origins: origins}, nil
 }
 
@@ -187,6 +191,32 @@
 // look is how often descriptors are divided anew.
 const look = 250 * time.Millisecond
 
+// A connection may have a command out for every two MB of memory, at most as many as the operator says: each may hold
+// 64 KiB of a value or an answer, and there are dozens of connections.
+const (
+	pipelinedMB    = 2
+	leastPipelined = 8
+)
+
+// heldShare is one over the part of the memory that requests may hold until they are answered. Answers on their way to
+// clients may hold a sixth.
+const heldShare = 4
+
+// weigh tells the node how near the whole program is to its limit on memory.
+func (d *daemon) weigh(now time.Duration) {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(samples)
+	level := d.memory.Observe(now, int64(samples[0].Value.Uint64()-samples[1].Value.Uint64()))
+	if level == d.pressure {
+		return
+	}
+	if d.pressure == 0 {
+		d.log.Warn("memory is short: work of the lowest worth is refused", logs.Event, "memory_short", "limit_mb", d.cfg.MemoryMB)
+	}
+	d.pressure = level
+	d.node.Pressure(level)
+}
+
 // divide moves descriptors to where they are needed.
 func (d *daemon) divide(now time.Duration) {
 	var uses [admission.Sides]admission.Use
--- a/internal/admission/table.go
+++ b/internal/admission/table.go
@@ -247,9 +247,12 @@
 	if t.policy.Bytes <= 0 || t.owed <= t.policy.Bytes {
 		return 0, false
 	}
+	// The more is owed, the less time there is: at twice the bound a quarter of the patience is left.
+	over := float64(t.policy.Bytes) / float64(t.owed)
+	patience := time.Duration(float64(t.policy.Stuck) * over * over)
 	var worst *entry
 	for _, e := range t.heavy {
-		if now-e.moved >= t.policy.Stuck && (worst == nil || e.moved < worst.moved || e.moved == worst.moved && e.id < worst.id) {
+		if now-e.moved >= patience && (worst == nil || e.moved < worst.moved || e.moved == worst.moved && e.id < worst.id) {
 			worst = e
 		}
 	}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -17,6 +17,7 @@
 	Probes, Watches, Lists, WatchesBroken, WatchesGarbage, ListsRefused atomic.Int64
 	PeersTold, PeersHeard, PeersForeign, PeersDropped                   atomic.Int64 // datagrams: sent, taken, from elsewhere or too long, lost here
 	Reloads, ReloadsBad                                                 atomic.Int64 // configurations read again, and those that were no good
+	NoMemory                                                            atomic.Int64 // flows turned away at the door, as those taken hold too much
 	Late                                                                atomic.Int64 // answers of servers that came after their flow's end
 	Gone                                                                atomic.Int64 // flows whose client left first
 	classes                                                             []string
@@ -82,6 +83,7 @@
 	line(&c.PeersDropped, "peers_dropped")
 	line(&c.Reloads, "reloads")
 	line(&c.ReloadsBad, "reloads_bad")
+	line(&c.NoMemory, "flows_without_memory")
 	line(&c.Late, "answers_late")
 	line(&c.Gone, "flows_client_left")
 	for i, class := range c.classes {
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -24,10 +24,11 @@
 
 	// Under the pool's lock.
 	conn    *conn
-	started bool // some of it may be out
-	moves   int  // connections that turned out to be of no use before it was written
-	written bool // all of it may be out
-	given   bool // given up: its answer is read and dropped
+	started bool        // some of it may be out
+	moves   int         // connections that turned out to be of no use before it was written
+	written bool        // all of it may be out
+	given   bool        // given up: its answer is read and dropped
+	timer   *time.Timer // ends its wait for a connection; stopped with it, or it would hold the flow and its value
 }
 
 // Answer is what a server sent for a forward.
@@ -182,7 +183,7 @@
 		p.waiting = append(p.waiting, f)
 		// No connection is on its way for this one. It waits no longer than it would for one, as the module may
 		// know better than to let it wait all its time.
-		time.AfterFunc(p.limits.Connect, func() {
+		f.timer = time.AfterFunc(p.limits.Connect, func() {
 			if end, ok := p.withdraw(f); ok {
 				p.report(f, Answer{End: end})
 			}
@@ -231,6 +232,7 @@
 	defer p.mu.Unlock()
 	f.given = true
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *Forward) bool { return w == f })
+	f.placed()
 	if c := f.conn; c != nil && !slices.ContainsFunc(c.pending, func(o *Forward) bool { return !o.given }) {
 		c.close(Broken)
 	}
@@ -259,6 +261,9 @@
 	p.addr, p.left = addr, left
 	if left {
 		drained, p.waiting = p.waiting, nil
+		for _, f := range drained {
+			f.placed()
+		}
 		for _, c := range slices.Clone(p.idle) {
 			c.close(Broken)
 		}
@@ -301,7 +306,7 @@
 		}
 		failed := only
 		if only == nil && len(p.waiting) > 0 {
-			failed, p.waiting = p.waiting[0], p.waiting[1:]
+			failed = p.pop()
 		}
 		if failed != nil && failed.given {
 			failed = nil
@@ -331,8 +336,26 @@
 	}
 }
 
+// placed says that a forward no longer waits for a connection.
+func (f *Forward) placed() {
+	if f.timer != nil {
+		f.timer.Stop()
+		f.timer = nil
+	}
+}
+
+// pop takes the forward that has waited for longest.
+func (p *Pool) pop() *Forward {
+	f := p.waiting[0]
+	p.waiting[0] = nil // as for pending
+	p.waiting = p.waiting[1:]
+	f.placed()
+	return f
+}
+
 // push gives a forward to a connection that has room for it.
 func (c *conn) push(f *Forward) {
+	f.placed()
 	f.conn = c
 	c.pending = append(c.pending, f)
 	c.queue <- f // holds as many as may be pending
@@ -346,9 +369,7 @@
 	case p.left:
 		c.close(Broken)
 	case len(p.waiting) > 0:
-		f := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		c.push(f)
+		c.push(p.pop())
 	default:
 		c.net.SetReadDeadline(time.Now().Add(p.limits.Idle))
 		p.idle = append(p.idle, c)
@@ -446,6 +467,7 @@
 			p.mu.Unlock()
 			break
 		}
+		c.pending[0] = nil // the array outlives it, and with it the flow and its value would stay
 		c.pending = c.pending[1:]
 		if a.Close {
 			c.close(Broken)
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -25,15 +25,17 @@
 // integer makes it loop for ever, such a length of a bulk string makes it panic, and a command without an end
 // makes its buffer grow without one.
 type guard struct {
-	rd     io.Reader
-	err    error
-	state  int
-	bulk   bool // the line in hand gives the length of a bulk string, not a count of them
-	n      int  // number read so far in the line
-	digits int
-	args   int    // bulk strings of the command still to come
-	size   int    // bytes of the command so far
-	half   func() // called when more is waited for with half a command in hand; may be nil
+	rd      io.Reader
+	err     error
+	state   int
+	bulk    bool // the line in hand gives the length of a bulk string, not a count of them
+	n       int  // number read so far in the line
+	digits  int
+	args    int           // bulk strings of the command still to come
+	size    int           // bytes of the command so far
+	buf     [4 << 10]byte // read and not yet handed over: buf[at:end]
+	at, end int
+	half    func() // called when more is waited for with half a command in hand; may be nil
 }
 
 // What the guard expects next.
@@ -46,29 +48,55 @@
 	bulkLF
 )
 
+// Read hands over no more than the rest of the command in hand. redcon's reader starts its buffer anew only when all
+// in it has been taken: with half a command at the end of each read it would double, over and over, up to all that a
+// client ever sent.
 func (g *guard) Read(b []byte) (int, error) {
 	if g.err != nil {
 		return 0, g.err
 	}
-	if g.half != nil && (g.state != atStart || g.args > 0) {
-		g.half()
+	if g.at == g.end {
+		if g.half != nil && (g.state != atStart || g.args > 0) {
+			g.half()
+		}
+		if g.state == inBulk && g.n >= len(g.buf) { // the middle of a large value needs no look
+			n, err := g.rd.Read(b[:min(len(b), g.n)])
+			if g.n -= n; g.n == 0 {
+				g.state = bulkCR
+			}
+			return n, err
+		}
+		n, err := g.rd.Read(g.buf[:])
+		if n == 0 {
+			return 0, err
+		}
+		g.at, g.end = 0, n // an error that came with bytes comes again without
 	}
-	n, err := g.rd.Read(b)
-	for i := 0; i < n; i++ {
+	in := g.buf[g.at:min(g.end, g.at+len(b))]
+	n := 0
+	for n < len(in) && g.err == nil {
 		if g.state == inBulk {
-			step := min(g.n, n-i)
+			step := min(g.n, len(in)-n)
 			g.n -= step
-			i += step - 1
+			n += step
 			if g.n == 0 {
 				g.state = bulkCR
 			}
 			continue
 		}
-		if g.err = g.step(b[i]); g.err != nil {
-			return i, nil // the bytes before may hold whole commands
+		if g.err = g.step(in[n]); g.err != nil {
+			break // the bytes before may hold whole commands
+		}
+		n++
+		if g.state == atStart && g.args == 0 {
+			break
 		}
 	}
-	return n, err
+	g.at += copy(b, in[:n])
+	if n == 0 {
+		return 0, g.err
+	}
+	return n, nil
 }
 
 func (g *guard) step(c byte) error {
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -200,7 +200,8 @@
 
 // slot is the place of one command's answer.
 type slot struct {
-	flow  *flow.Flow // nil where the listener answers by itself
+	flow  *flow.Flow // until it is answered; nil where the listener answers by itself
+	taken bool       // it was a flow
 	ready bool
 	out   []byte // a RESP prefix, or all of it
 	value []byte // between out and CRLF, not copied
@@ -330,7 +331,7 @@
 			return
 		}
 		f.Conn = c.id
-		s := &slot{flow: f}
+		s := &slot{flow: f, taken: true}
 		f.Reply = func(r flow.Response) { c.reply(s, r) }
 		c.asked(admission.Request)
 		if c.add(s) {
@@ -435,6 +436,7 @@
 	c.l.event(func(now time.Duration) { c.l.table.Owes(now, c.id, len(out)+len(value)) })
 	c.mu.Lock()
 	s.out, s.value, s.ready = out, value, true
+	s.flow = nil // else the command's buffer, with its value, would stay until the answers before this one are written
 	c.ready.Broadcast()
 	c.mu.Unlock()
 }
@@ -457,7 +459,7 @@
 		for ; n < len(c.slots) && c.slots[n].ready && size < batch; n++ {
 			s := c.slots[n]
 			size += len(s.out) + len(s.value)
-			if s.flow != nil {
+			if s.taken {
 				owed += len(s.out) + len(s.value)
 			}
 			out = append(out, c.slots[n].out)
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -29,6 +29,7 @@
 	ready  chan struct{} // holds one word while something waits
 
 	behind admission.Sojourn // the loop's
+	memory float64           // share of what may be refused that should be, for want of memory
 	level  float64           // as the module was told
 }
 
@@ -96,7 +97,20 @@
 	in := &n.in
 	now := time.Now()
 	in.behind.Observe(now.Sub(n.start), now.Sub(since))
-	level := in.behind.Level(now.Sub(n.start))
+	n.level(max(in.behind.Level(now.Sub(n.start)), in.memory))
+}
+
+// Pressure tells the loop how short the node is of memory, from 0 to 1.
+func (n *Node) Pressure(level float64) {
+	n.post(n.queue, func() {
+		n.in.memory = level
+		n.level(max(n.in.behind.Level(time.Since(n.start)), level))
+	})
+}
+
+// level tells the module what share to refuse, where it changed.
+func (n *Node) level(level float64) {
+	in := &n.in
 	if d := level - in.level; d >= strainStep || d <= -strainStep || d != 0 && level == 0 {
 		in.level = level
 		n.tell(brain.Strain{Level: level})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"shelfproxy/brain"
+	"shelfproxy/internal/admission"
 	"shelfproxy/internal/counters"
 	"shelfproxy/internal/discovery"
 	"shelfproxy/internal/flow"
@@ -29,6 +30,7 @@
 	Module   brain.Settings
 	Seed     uint64
 	MaxOpen  int
+	MaxHeld  int           // bytes of requests that were taken and not yet answered; 0 is no bound
 	MaxWait  time.Duration // no class waits for longer; a client that says so is not believed
 	Known    discovery.List
 	Source   discovery.Source
@@ -65,6 +67,7 @@
 	nextID  uint64
 	servers map[string]*server
 	open    int
+	taken   admission.Held
 	lastAt  time.Time // when set, no flow is answered later
 	closing bool
 	idle    chan struct{} // closed when nothing is owed any more
@@ -85,6 +88,7 @@
 	answered bool
 	deadline time.Time
 	expiry   *timed
+	counted  bool // in Node.taken
 }
 
 type server struct {
@@ -104,6 +108,7 @@
 		stopped: make(chan struct{}), idle: make(chan struct{}), start: time.Now(), classes: map[string]int{},
 		flows: map[uint64]*state{}, byFlow: map[*flow.Flow]*state{}, ids: map[string]bool{}, servers: map[string]*server{}}
 	n.in.room.L = &n.in.mu
+	n.taken.Limit = opt.MaxHeld
 	for i, c := range opt.Module.Classes {
 		n.classes[c.Name] = i
 	}
@@ -269,7 +274,11 @@
 	s := &state{Flow: f, id: n.nextID, class: class, deadline: f.Taken.Add(max(wait-transit, time.Millisecond))}
 	n.flows[s.id], n.byFlow[f], n.ids[string(f.ID)] = s, s, true
 	n.open++
-	if n.open > n.opt.MaxOpen { // nothing of it has run
+	s.counted = n.taken.Take(len(f.Value), f.Write)
+	if !s.counted {
+		n.opt.Count.NoMemory.Add(1)
+	}
+	if n.open > n.opt.MaxOpen || !s.counted { // nothing of it has run
 		n.answer(s, flow.Response{Kind: flow.Refused})
 		return
 	}
@@ -294,6 +303,9 @@
 // over notes that nothing is owed for a flow any more.
 func (n *Node) over(s *state) {
 	s.answered = true
+	if s.counted {
+		n.taken.Give(len(s.Value))
+	}
 	delete(n.ids, string(s.ID))
 	n.open--
 	n.checkIdle()
--- a/tests/admission_test.go
+++ b/tests/admission_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -58,6 +60,7 @@
 	}
 	r.until("stuck clients are cut off", func() bool { return usual.counter("listener_closed_stuck") > 0 })
 	usual.send("CACHE.GET", "k", "last", "c=read,d=2900").want("value-last")
+	r.within(32)
 }
 
 // With 256 descriptors, connections that say nothing by the hundreds and clients that ask once and stay do not keep
@@ -128,3 +131,70 @@
 		}
 	}
 }
+
+// Writes whose values fill the node while the origin stands still are turned away before the memory is full, reads of
+// usual clients before them, and the node is not killed: with 32 MB, clients push several times that.
+func TestValuesThatFillTheMemory(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, newTarget(t, hit))
+	release := make(chan struct{})
+	r.origin = func(w http.ResponseWriter, q *http.Request) {
+		select {
+		case <-release:
+		case <-q.Context().Done():
+		}
+		fmt.Fprint(w, "stored")
+	}
+	r.config["limits"] = map[string]any{"cores": 1.0, "memory_mb": 32, "sockets": 256}
+	r.start()
+	usual := r.dial()
+	usual.send("CACHE.GET", "k", "before", "c=read,d=2900").want("value-")
+	value := strings.Repeat("x", 60<<10)
+	var sent sync.WaitGroup
+	answers := make(chan string, 1024)
+	for i := range 10 {
+		c := r.dial()
+		sent.Go(func() {
+			for j := range 100 { // 60 MB in all
+				c.send("CACHE.SET", fmt.Sprint("w", i), fmt.Sprintf("id%02d%03d", i, j), "c=put,d=2900,k="+fmt.Sprint(i*1000+j), value)
+			}
+		})
+		sent.Go(func() {
+			for range 100 {
+				a := c.answer()
+				answers <- a
+				if a == "closed" {
+					return
+				}
+			}
+		})
+	}
+	r.until("some are turned away", func() bool { return usual.counter("flows_without_memory") > 0 })
+	close(release)
+	sent.Wait()
+	close(answers)
+	count := map[string]int{}
+	for a := range answers {
+		count[a]++
+	}
+	if count["-BUSY"] == 0 || count["stored"] == 0 || count["closed"] > 0 {
+		t.Errorf("answers %v, want some stored, some turned away, no connection closed", count)
+	}
+	usual.send("CACHE.GET", "k", "after", "c=read,d=2900").want("value-")
+	r.within(32)
+}
+
+// within fails the test if the node ever held more memory than this, as far as the system tells.
+func (r *rig) within(mb int) {
+	r.t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
+	_, after, found := strings.Cut(string(status), "VmHWM:")
+	if err != nil || !found || len(buildFlags) > 0 { // a build with the race detector takes several times as much
+		return
+	}
+	kb := 0
+	fmt.Sscan(after, &kb)
+	if kb > mb<<10 {
+		r.t.Errorf("the node held %d MB, %d are allowed", kb>>10, mb)
+	}
+}
