--- a/tests/lists_test.go
+++ b/tests/lists_test.go
@@ -41,3 +41,28 @@
 		})
 	}
 }
+
+// A node that is given no list, or one of servers long gone, starts, answers at once, and serves from the first list that
+// discovery sends.
+func TestStartWithoutAGoodList(t *testing.T) {
+	t.Parallel()
+	for name, known := range map[string]any{"absent": nil, "out of date": list(1, true, instance("gone", "127.0.0.1:1", "box", "up"))} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			box := newTarget(t, hit)
+			r := newRig(t, box)
+			delete(r.config, "known")
+			if known != nil {
+				r.config["known"] = known
+			}
+			c := r.start().dial()
+			c.send("CACHE.GET", "k", "early", "c=read,d=2900").want("-")
+			r.tell(list(42, true, instance("s0", box.addr, "box", "up")))
+			n := 0
+			r.until("reads are served", func() bool {
+				n++
+				return strings.HasPrefix(c.send("CACHE.GET", "k", fmt.Sprint("id", n), "c=read,d=2900").answer(), "value-")
+			})
+		})
+	}
+}
