Follow the agent where lists are pushed, and tell the module a request's tenant

Cause: brain.upkeep asks for the list only where it must be asked (MustAsk), and nothing else opened the watch, so a node lived on the list of its configuration (node.go, Run; servers.go, watched). The second: node.take made brain.Request without a tenant and the listener did not read t, so no request on sockets was ever beyond a share.

The listener names the tenant of a request, interned from the settings.

Tests: TestListThatAnAgentPushes, TestWorthOfTenants; each fails without its part.

--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -112,6 +112,10 @@
 	for i, c := range cfg.Module.Classes {
 		classes[i] = c.Name
 	}
+	tenants := make([]string, len(cfg.Module.Tenants))
+	for i, t := range cfg.Module.Tenants {
+		tenants[i] = t.Name
+	}
 	ends := make([]string, forward.Ends())
 	for i := range ends {
 		ends[i] = forward.End(i).String()
@@ -164,7 +168,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	front := listener.New(ln, n, classes, listener.Limits{Conns: start[admission.Clients],
+	front := listener.New(ln, n, classes, tenants, listener.Limits{Conns: start[admission.Clients],
 		Pipelined: min(op.Listener.Pipelined, max(leastPipelined, cfg.MemoryMB/pipelinedMB)), Value: 64 << 10, Write: op.Listener.Write.D(), Silent: op.Listener.Silent.D(),
 		Crowd: op.Listener.IdleCrowded.D(), Idle: op.Listener.Idle.D(), Owed: cfg.MemoryMB << 20 / 6}, count)
 	return &daemon{memory: admission.Memory{Limit: int64(cfg.MemoryMB) << 20}, cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front,
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -9,6 +9,7 @@
 type Flow struct {
 	Key, ID []byte
 	Class   string
+	Tenant  string // empty where the client names none that the deployment has
 	Extras  []byte // the list of names and values as it arrived
 	Write   bool
 	Value   []byte // of a write
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -46,6 +46,7 @@
 	ln      net.Listener
 	sink    flow.Sink
 	classes map[string]bool
+	tenants map[string]string // each under its own name: no flow holds on to the command for it
 	limits  Limits
 	count   *counters.Counters
 
@@ -60,15 +61,19 @@
 	done     sync.WaitGroup
 }
 
-// New starts nothing yet; Serve does.
-func New(ln net.Listener, sink flow.Sink, classes []string, limits Limits, count *counters.Counters) *Listener {
-	l := &Listener{ln: ln, sink: sink, classes: map[string]bool{}, limits: limits, count: count,
+// New starts nothing yet; Serve does. Classes are those that there are: a request of another one is an error. One of a
+// tenant that the deployment does not name belongs to none.
+func New(ln net.Listener, sink flow.Sink, classes, tenants []string, limits Limits, count *counters.Counters) *Listener {
+	l := &Listener{ln: ln, sink: sink, classes: map[string]bool{}, tenants: map[string]string{}, limits: limits, count: count,
 		conns: map[uint64]*conn{}, start: time.Now(),
 		table: admission.NewTable(policy(limits))}
 	l.room.L = &l.mu
 	for _, c := range classes {
 		l.classes[c] = true
 	}
+	for _, t := range tenants {
+		l.tenants[t] = t
+	}
 	return l
 }
 
@@ -389,6 +394,8 @@
 		switch string(name) {
 		case "c":
 			f.Class = string(value)
+		case "t":
+			f.Tenant = l.tenants[string(value)]
 		case "d":
 			ms, err := strconv.Atoi(string(value))
 			if err != nil || ms <= 0 || ms > maxWait {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,6 +154,9 @@
 	defer close(n.stopped)
 	n.held.Held(n.opt.Known.Version)
 	n.list(n.opt.Known, brain.Cached)
+	if n.pushed() {
+		n.subscribe()
+	}
 	timer := time.NewTimer(0)
 	for {
 		select { // lists first
@@ -286,8 +289,8 @@
 		s.deadline = n.lastAt
 	}
 	s.expiry = n.at(s.deadline, func() { n.expire(s) })
-	n.tell(brain.Request{ID: s.id, Key: string(f.Key), Class: f.Class, Deadline: n.moduleTime(s.deadline),
-		Write: f.Write})
+	n.tell(brain.Request{ID: s.id, Key: string(f.Key), Class: f.Class, Tenant: f.Tenant,
+		Deadline: n.moduleTime(s.deadline), Write: f.Write})
 }
 
 func (n *Node) gone(f *flow.Flow) {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -74,6 +74,14 @@
 	n.reported(f, a)
 }
 
+// agentRetry is the pause before a watch on an agent that ended is opened again. The agent is on this machine and answers
+// at no cost, and what it has counts as told to this node: the pause only keeps a dead one from being called in a loop.
+const agentRetry = 100 * time.Millisecond
+
+// pushed says that the list is sent to this node unasked. On sockets that is an agent on its machine, which has to be
+// listened to: the module, which is told of lists and asks for none there, knows nothing of it.
+func (n *Node) pushed() bool { return !n.opt.Module.MustAsk }
+
 // subscribe starts a watch. While a healthy one runs there is nothing to ask for.
 func (n *Node) subscribe() {
 	if n.healthy {
@@ -124,7 +132,11 @@
 		n.opt.Log.Warn("the watch on discovery ended; the list held before stays", logs.Event, "watch_ended",
 			"error", err.Error(), "held", n.held.Version(), "came", l.Version)
 		n.healthy, n.watch = false, n.watch+1
-		n.tell(brain.List{Scope: brain.Failed})
+		if n.pushed() {
+			n.at(time.Now().Add(agentRetry), n.subscribe)
+		} else {
+			n.tell(brain.List{Scope: brain.Failed})
+		}
 	default:
 		n.opt.Count.Lists.Add(1)
 		n.healthy = true
--- a/tests/admission_test.go
+++ b/tests/admission_test.go
@@ -210,3 +210,30 @@
 		r.t.Errorf("the node held %d MB, %d are allowed", kb>>10, mb)
 	}
 }
+
+// TestWorthOfTenants: a request counts against the share of the tenant that its client names. A full server's reads within
+// a share wait for room, and what lies beyond it is refused at once.
+func TestWorthOfTenants(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	asked := map[string]int{}
+	box := newTarget(t, func(args []string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		if asked[args[2]]++; strings.Contains(args[3], "t=") && asked[args[2]] == 1 {
+			return "-BUSY\r\n"
+		}
+		return hit(args)
+	})
+	r := newRig(t, box)
+	set := r.config["settings"].(map[string]any)
+	set["lanes"].([]any)[0].(map[string]any)["worth"] = 10
+	set["accounts"] = []any{map[string]any{"name": "within", "quota_per_s": 1000}, map[string]any{"name": "beyond", "quota_per_s": 0}}
+	c := r.start().dial()
+	for i := range 4 { // what a tenant without a share may send by chance
+		c.send("CACHE.GET", "k", fmt.Sprint("chance", i), "c=read,d=2900,t=beyond").want("value-")
+	}
+	c.send("CACHE.GET", "k", "in", "c=read,d=2900,t=within").want("value-in")
+	c.send("CACHE.GET", "k", "out", "c=read,d=2900,t=beyond").want("-BUSY")
+	c.send("CACHE.GET", "k", "other", "c=read,d=2900,t=nobody").want("value-other")
+}
--- a/tests/lists_test.go
+++ b/tests/lists_test.go
@@ -122,3 +122,25 @@
 	r.until("the new discovery is watched", func() bool { return len(next.watches) == 1 && next.open.Load() == 1 })
 	c.send("CACHE.GET", "k", "after", "c=read,d=2900").want("value-")
 }
+
+// TestListThatAnAgentPushes: where lists are pushed the node follows the agent on its machine from its start, though the
+// module asks for nothing, takes what it is told, and follows again after the agent went away.
+func TestListThatAnAgentPushes(t *testing.T) {
+	t.Parallel()
+	box := newTarget(t, hit)
+	r := newRig(t, box)
+	r.config["settings"].(map[string]any)["registry_mode"] = "automatic"
+	c := r.start().dial()
+	c.send("CACHE.GET", "k", "before", "c=read,d=2900").want("value-")
+	if first := <-r.watches; !strings.Contains(first, "after=41") {
+		t.Errorf("watched with %s, want the version known", first)
+	}
+	r.changes <- "break"
+	r.until("the agent is followed again", func() bool { return len(r.watches) > 0 })
+	r.tell(list(42, false, instance("s0", box.addr, "box", "draining")))
+	n := 0
+	r.until("the drain is kept", func() bool {
+		n++
+		return strings.HasPrefix(c.send("CACHE.GET", "k", fmt.Sprint("id", n), "c=read,d=2900").answer(), "from-origin-")
+	})
+}
