Hold what the origin can't take in a line by worth, and keep reads near home while it is calm

Causes, each measured alone: (1) advance sent every write and every fetch that shed let through to the origin at once, and with it 5 times slower its queue was full of work nobody waited for any more. (2) shed judged cache servers by the thresholds of fetches: 55% of hits over half the aim, when a third was late already. (3) next weighed servers of all zones alike.

Change: admission.Concurrency limits what is out at the origin by how long answers take against what it needs (cuts in half, once a round); admission.Line lets the rest wait while an answer may be in time, writes first, then the fetch that most wait for. Cache servers are relieved from an eighth of the thresholds on. zones.Reach lets servers of other zones weigh less, step by step, while crossing has a price and neither origin nor servers are crowded, and as much as others within 4 s of a crowd. The waiting of writes beyond a share (holdWrites) went into the line.

--- a/brain/api.go
+++ b/brain/api.go
@@ -67,8 +67,8 @@
 	Cancels bool // Cancel is allowed
 
 	// What idle connections cost: points of the service for 100 open at each server, and for a new one for each
-	// request. Zero is no price.
-	ConnectionPrice, HandshakePrice float64
+	// request; and what each request costs that crosses zones once. Zero is no price.
+	ConnectionPrice, HandshakePrice, CrossPrice float64
 
 	MaxAttempts   int           // attempts a request may have
 	MaxRetryAfter time.Duration // longest advice that clients follow; 0 where none may be given
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -14,6 +14,7 @@
 
 	"shelfproxy/internal/gossip"
 	"shelfproxy/internal/tally"
+	"shelfproxy/internal/zones"
 )
 
 const (
@@ -33,13 +34,14 @@
 	countEnough = 8.0                     // requests a server that its part is judged from, at least
 	countAge    = 30 * time.Second        // like maxAge, for that
 	criticalMax = 0.2                     // share over the maximum past which critical reads are refused too
-	extreme     = 0.5                     // share over the maximum at which writes beyond a share wait
+	poolFloor   = 0.5                     // cache servers' target over the shortest aim, at least
+	hitPart     = 0.125                   // of a threshold, for hits: only a queue makes them slow
+	ahead       = 1e6                     // worth of a write in line beside that of any read
 	moveMost    = 4                       // reads that move on from a cache server at a time
 	refusedBy   = 50 * time.Millisecond   // a connect that fails sooner was refused: nobody listens
 	wholeBy     = 4                       // hits without a miss that show a memory that is whole
 	maxResets   = 2                       // probes in a row that may break before that counts as no answer
 	inHand      = 2                       // reads out at a cache server from which it can count as crowded
-	holdWrites  = 100 * time.Millisecond  // before they look again
 	spill       = 0.05                    // origin utilisation up to which a full server's reads move on
 	backoff     = 25 * time.Millisecond   // first wait after a server was full
 	cutOff      = 4                       // connects that fail in a row before a zone counts as out of reach
@@ -50,18 +52,15 @@
 	upkeepEvery = 250 * time.Millisecond
 )
 
-// thresholds give the utilisation of the target past which a bucket's misses are refused, all of them at
-// twice that. Writes never are, and critical reads only by criticalMax. At 0.1 calm
-// days had 17 to 45% of reads refused with p99 at half the aim; from 0.6 on overload was not held.
+// thresholds give the utilisation past which a bucket's misses are refused, all at twice that. At 0.1 calm
+// days had 17 to 45% of reads refused; from 0.6 on overload was not held.
 var thresholds = [...]float64{critical: math.Inf(1), degraded: 0.55, bestEffort: 0.55, bulk: 0.45}
 
-// poolFloor is the cache servers' target over the shortest aim, at least. Their normal times differ by
-// machine, and a slow one that answers well inside the aim is not crowded.
-const poolFloor = 0.5
+// leastWorth is the worth, of the greatest, that a read of each bucket is above.
+var leastWorth = [...]float64{critical: 0.7, degraded: 0.3, bestEffort: 0.12}
 
-// learn takes a quiet timing into the target and the maximum. They fall at once and rise slowly: a crowd
-// that builds up must not pass for the normal time. Before the first timings, and where a crowd was there
-// before them, the shortest aim is the target.
+// learn takes a quiet timing into target and maximum, which fall at once and rise slowly: a crowd that
+// builds up must not pass for the normal time. Before the first timings the shortest aim is the target.
 func (o *objectives) learn(took time.Duration) {
 	if len(o.quiet) < quietCount {
 		o.quiet = append(o.quiet, took)
@@ -81,12 +80,9 @@
 
 // observe takes the timing of an answer or a failure, which counts over the maximum.
 func (g *gauge) observe(now Time, took time.Duration, failed bool) {
-	if u, _ := g.utilisation(now); !failed && u < calm {
+	if !failed && !g.held && g.slowPart(now) < calm {
 		g.learn(took) // never from stressed times
 	}
-	if g.pool != nil {
-		g.pool.count(now, took, failed)
-	}
 	g.count(now, took, failed)
 }
 
@@ -124,8 +120,7 @@
 }
 
 // next maps a slot to cache servers by weighted rendezvous hashing: the one with the lowest score above after
-// (the owner if after is 0). A cold server weighs as little as its warmth, so it takes slots back one by one,
-// and routers agree on them without talking.
+// (the owner if after is 0). A cold server weighs as little as its warmth. Routers agree without talking.
 func (r *Router) next(slot uint64, after float64, avoid *server) (best *server, score float64) {
 	score = math.Inf(1)
 	for _, s := range r.servers {
@@ -141,6 +136,9 @@
 		if r.set.SizedUnits && s.Units > 0 {
 			weight *= s.Units
 		}
+		if s.Zone != r.set.Zone {
+			weight *= r.reach.Weight()
+		}
 		u := unit(mix(slot ^ s.hash))
 		if 1-u >= score*weight { // cannot win, as -log(u) is no less; spares most of the logarithms
 			continue
@@ -162,9 +160,7 @@
 }
 
 func (r *Router) judge(s *server) {
-	u, _ := s.gauge.utilisation(r.now)
-	all, _ := r.pool.utilisation(r.now)
-	s.opinion.Judge(u, all)
+	s.opinion.Judge(s.gauge.slowPart(r.now), r.pool.slowPart(r.now))
 }
 
 // hear takes what another router met as if this one had met it: alone it meets most servers too seldom.
@@ -194,10 +190,7 @@
 
 // count counts a request, and its key for all routers. Counts fade by making later ones weigh more.
 func (r *Router) count(key string) {
-	if r.all > 0 {
-		n := tally.Fade(r.all/r.one, r.now-r.allAt, window, countEnough*float64(len(r.servers)), countAge)
-		r.one = r.all / max(n, 1e-9)
-	}
+	r.one = tally.Weight(r.all, r.one, r.now-r.allAt, window, countEnough*float64(len(r.servers)), countAge)
 	r.all, r.allAt = r.all+r.one, r.now
 	r.keys.Count(r.now, gossip.MarkOf(hash(key)), float64(len(r.servers)))
 	r.talk.Asked(gossip.MarkOf(hash(key)), r.heat(key)/max(1, r.takers), r.rng.Float64())
@@ -229,9 +222,9 @@
 	return best
 }
 
-// mayTake keeps a cold server from being pushed over by a hot key or a surge, by all routers together. It
-// gets a safe part of what one of its size answers here. Each router may be asked for a key once, so lots are
-// drawn, by what all know of the key; one not met may just now begin to come everywhere.
+// mayTake keeps a cold server from being pushed over by a hot key or a surge, by all together. It gets
+// a safe part of what one of its size answers here, and grows at half the pace for a router with few timings.
+// Lots are drawn, by what all know of the key; one not met may just now begin to come everywhere.
 func (r *Router) mayTake(s *server, q *request, part float64) bool {
 	warmth := r.warmth(s)
 	if warmth == 1 {
@@ -239,7 +232,6 @@
 	}
 	mean := (r.served/r.takers + servedPrior*r.one) * r.size(s)
 	asked := max(s.asked-part, r.heat(q.Key)*part*(r.all/r.one/r.takers+servedPrior)) + warmth*mean
-	// It may grow at half that pace, and fall before a router that has few of its timings sees it.
 	late := (warmth - r.set.ColdFrom) / 2 * (1 - min(1, enough/float64(r.set.Routers)))
 	safe, lot := coldBudget*r.set.FallFactor*(warmth-late)*mean, r.rng.Float64()
 	if !r.keys.Met(gossip.MarkOf(hash(q.Key))) && safe < r.one {
@@ -252,7 +244,13 @@
 // rising share, spread evenly.
 func (r *Router) shed(b bucket, g *gauge) bool {
 	target, maximum := g.utilisation(r.now)
-	over, width := target-thresholds[b], thresholds[b]
+	width := thresholds[b]
+	if n := float64(r.line.Len()); g.pool != nil {
+		width *= hitPart
+	} else if n > 0 { // what waits in line would be slow too
+		target = (target*g.n + n) / (g.n + n)
+	}
+	over := target - width
 	if b == critical {
 		width = thresholds[degraded]
 		over = min(maximum-criticalMax, target-1.5*width) // never before the others
@@ -278,30 +276,23 @@
 	q := &request{Request: e, class: c, aim: min(r.now+c.Aim, e.Deadline)}
 	r.requests[e.ID] = q
 	r.count(e.Key)
-	worth := c.Worth / r.topWorth
+	q.worth = c.Worth / r.topWorth
 	if t := r.tenants[e.Tenant]; t != nil {
 		rate := t.quota / float64(r.set.Routers)
 		t.tokens = min(rate+chance, t.tokens+rate*(r.now-t.at).Seconds())
 		if t.at = r.now; t.tokens >= 1 {
 			t.tokens--
 		} else {
-			worth *= r.set.OverShare
+			q.worth *= r.set.OverShare
 			q.beyond = true
 		}
 	}
-	switch {
-	case e.Write || worth > 0.7:
-		q.bucket = critical
-	case worth > 0.3:
-		q.bucket = degraded
-	case worth > 0.12:
-		q.bucket = bestEffort
-	default:
-		q.bucket = bulk
+	for !e.Write && q.bucket < bulk && q.worth <= leastWorth[q.bucket] {
+		q.bucket++
 	}
 	r.budgets[c].First(r.now)
-	// While the node is behind with its own work a share of what may be refused is, before it costs
-	// anything. What has less time left than the quickest answers of late took would only fail later.
+	// A node that is behind refuses a share of what it may. What has less time left than the quickest answers
+	// of late took would only fail later.
 	behind := r.strain > 0 && q.bucket != critical && r.lot(q.bucket, r.strain*float64(q.bucket))
 	if behind || !e.Write && e.Deadline-r.now < r.quickest {
 		r.refuse(q)
@@ -317,20 +308,14 @@
 	case r.now >= q.Deadline || len(q.attempts) >= r.set.MaxAttempts:
 		r.giveUp(q)
 	case r.set.OriginKind != "" && q.Write:
-		// Writes are never shed. But the excess of one tenant's writes alone can stop the origin for all, so
-		// those beyond a share wait while it is far over its maximum.
-		if r.origin != nil && q.beyond {
-			if _, maximum := r.origin.gauge.utilisation(r.now); maximum > extreme {
-				r.park(q, r.now+holdWrites)
-				return
-			}
-		}
-		r.send(q, r.origin)
+		r.enter(q) // writes are never shed
 	case r.set.OriginKind != "" && r.flights[q.Key] != nil:
-		// Single-flight: after a flush or the loss of a server every reader of a popular key misses at once,
-		// and the origin could not carry a fetch for each.
+		// Single-flight: after a flush every reader of a popular key misses at once.
 		f := r.flights[q.Key]
 		f.waiting = append(f.waiting, q)
+		if r.line.Has(f.leader) { // what many wait for goes first
+			r.line.Add(f.leader, q.worth)
+		}
 		r.park(q, r.latest(q))
 	case q.missed:
 		r.fetch(q)
@@ -340,9 +325,8 @@
 			r.fetch(q)
 			return
 		}
-		// When the cache servers and not the origin are the bottleneck there may be no miss to refuse: work
-		// of the lowest buckets goes past a crowded one to the origin while that is quiet, else is refused.
-		// With next to nothing in hand it is not crowded: where all is refused its timings are old.
+		// Where cache servers are the bottleneck, work of the lowest buckets goes past a crowded one to a
+		// quiet origin, else is refused. With next to nothing in hand its timings are old: it is not crowded.
 		if s != nil && len(q.attempts) == 0 && !q.Write && len(s.gauge.out) >= inHand &&
 			r.shed(q.bucket, &s.gauge) {
 			if r.roomy(calm) {
@@ -358,19 +342,47 @@
 
 // roomy tells whether recent fetches show that the origin could do more.
 func (r *Router) roomy(below float64) bool {
-	if r.origin == nil {
-		return false
-	}
-	u, _ := r.origin.gauge.utilisation(r.now)
-	return u < below && r.origin.gauge.n > enough/2
+	return r.origin != nil && r.origin.gauge.slowPart(r.now) < below && r.origin.gauge.n > enough/2
 }
 
 // fetch gets a missed key from the origin, unless its bucket is being refused.
 func (r *Router) fetch(q *request) {
 	if r.origin != nil && r.shed(q.bucket, &r.origin.gauge) {
 		r.refuse(q)
-	} else if r.send(q, r.origin) {
+	} else {
 		r.flights[q.Key] = &flight{leader: q}
+		if r.enter(q); q.ended {
+			r.land(q, false)
+		}
+	}
+}
+
+// enter sends to the origin if it has room, else it lets wait in line while an answer may be in time.
+func (r *Router) enter(q *request) {
+	if r.origin == nil || len(r.origin.gauge.out) < r.gate.Limit() {
+		r.send(q, r.origin)
+		return
+	}
+	until, worth := q.aim-r.origin.gauge.target, q.worth
+	if q.Write {
+		until = min(r.latest(q), (r.now+q.Deadline)/2) // what never left is not refused late
+		if !q.beyond {
+			worth += ahead
+		}
+	}
+	r.park(q, max(r.now, until))
+	r.line.Add(q, worth)
+}
+
+// release lets what is worth most go on to the origin as far as it has room.
+func (r *Router) release() {
+	for r.origin != nil && r.line.Len() > 0 && len(r.origin.gauge.out) < r.gate.Limit() {
+		q, _ := r.line.Next()
+		q.parked = false
+		r.send(q, r.origin)
+	}
+	if r.origin != nil {
+		r.origin.gauge.held = r.line.Len() > 0
 	}
 }
 
@@ -393,10 +405,7 @@
 		if !w.parked {
 			continue
 		}
-		if ok {
-			w.missed = false
-		}
-		w.parked = false
+		w.missed, w.parked = w.missed && !ok, false
 		r.advance(w)
 	}
 }
@@ -407,8 +416,7 @@
 }
 
 func (r *Router) unpark(q *request) {
-	q.parked = false
-	if r.now >= r.latest(q) {
+	if q.parked = false; r.line.Has(q) || r.now >= r.latest(q) {
 		r.giveUp(q)
 	} else {
 		r.advance(q)
@@ -416,17 +424,16 @@
 }
 
 // send starts an attempt if the rules for repeats allow one there; else it gives the request up.
-func (r *Router) send(q *request, s *server) bool {
+func (r *Router) send(q *request, s *server) {
 	if s == nil || !r.mayRepeat(q, s) {
 		r.giveUp(q)
-		return false
+		return
 	}
 	a := &attempt{q: q, srv: s, at: r.now, open: true}
 	q.attempts = append(q.attempts, a)
 	q.open++
 	s.gauge.out = append(s.gauge.out, a)
 	r.act(Send{ID: q.ID, Server: s.ID})
-	return true
 }
 
 // mayRepeat keeps the rule that no effect happens twice.
@@ -434,16 +441,9 @@
 	if q.risk == nil || q.class.Effect == Safe {
 		return true
 	}
-	if q.class.Effect == Unsafe || r.now > q.risk.at+q.class.Window-2*r.set.Tick {
-		return false
-	}
-	switch q.class.Group {
-	case SameZone:
-		return s.Zone == q.risk.srv.Zone
-	case SameCell:
-		return s.Zone == q.risk.srv.Zone && s.Cell == q.risk.srv.Cell
-	}
-	return true
+	near := s.Zone == q.risk.srv.Zone && (q.class.Group == SameZone || s.Cell == q.risk.srv.Cell)
+	return q.class.Effect == Keyed && (near || q.class.Group == AllServers) &&
+		r.now <= q.risk.at+q.class.Window-2*r.set.Tick
 }
 
 // refuse turns a request away where the rules allow to promise that a new try does no harm.
@@ -458,12 +458,12 @@
 }
 
 func (r *Router) giveUp(q *request) {
-	if r.now < q.aim {
-		r.refuse(q)
+	if r.now >= q.aim {
+		r.act(Fail{q.ID})
+		r.end(q)
 		return
 	}
-	r.act(Fail{q.ID})
-	r.end(q)
+	r.refuse(q)
 }
 
 func (r *Router) outcome(e Outcome) {
@@ -495,7 +495,10 @@
 			s.refused = s.refused || e.Took < refusedBy
 		}
 		r.saw(s, e.Took, true)
-		r.suspect(s)
+		// None of these must be read as death: only an unanswered probe takes it out of the map.
+		if s != r.origin && !s.silent {
+			r.probe(s)
+		}
 	case OK, Errored, Rejected:
 		r.saw(s, e.Took, e.Reason != OK)
 		if e.Reason == OK && s != r.origin {
@@ -519,6 +522,10 @@
 		q.risk = a // it may have run
 	}
 	if s == r.origin {
+		if e.Reason != Moot {
+			calm, out := s.gauge.target, len(s.gauge.out)+1
+			r.gate.Timed(r.now, q.Write, e.Took, calm, e.Reason == Rejected, out)
+		}
 		r.land(q, e.Reason == OK)
 	}
 	if q.ended || q.open > 0 {
@@ -555,31 +562,21 @@
 	if s.silent {
 		s.silent = false
 		if r.now-s.since > askEvery {
-			// It is taken to have restarted, until the list tells when or it shows that it lost nothing.
-			// A connect that was refused says that its process was not there.
-			s.before, s.cold, s.doubt = s.cold, r.now, wholeBy
-			if s.refused {
-				s.doubt = 0
+			// It is taken to have restarted, until the list tells when or it shows a whole memory.
+			if s.before, s.cold, s.doubt = s.cold, r.now, wholeBy; s.refused {
+				s.doubt = 0 // its process was not there
 			}
 		}
 		r.logf("server %s answers again", s.ID)
 	}
 }
 
-// suspect asks a server that failed whether it is there. A full connection table, one slow answer or one
-// broken connection must not be read as death: only an unanswered probe takes it out of the map.
-func (r *Router) suspect(s *server) {
-	if s != r.origin && !s.silent {
-		r.probe(s)
-	}
-}
-
 func (r *Router) silence(s *server) {
 	s.silent, s.since, s.refused, s.doubt = true, r.now, false, 0
 	r.logf("server %s is silent: out of the map", s.ID)
-	for _, a := range slices.Clone(s.gauge.out) {
-		if r.set.Cancels && !a.q.ended && a.q.class.Effect == Safe {
-			r.act(Cancel{ID: a.q.ID, Attempt: slices.Index(a.q.attempts, a)})
+	for _, a := range s.gauge.out {
+		if a.movable(r) {
+			r.cancel(a)
 		}
 	}
 }
@@ -605,22 +602,20 @@
 	}
 }
 
-// moveOn fetches reads from the origin that a cache server has held for over its maximum, or twice that where
-// it is crowded, a few at a time while the origin is quiet. It hangs, or began an answer that never ends.
+// moveOn fetches reads from the origin that hang at a cache server for over its maximum, twice that where it
+// is crowded, a few at a time while the origin is quiet.
 func (r *Router) moveOn(s *server) {
-	if u, _ := r.pool.utilisation(r.now); u > calm || !r.set.Cancels || !r.roomy(calm) {
+	if r.pool.slowPart(r.now) > calm || !r.roomy(calm) {
 		return // in a crowd it would only add to the work
 	}
 	patience := s.gauge.max
 	if s.gauge.slow > calm*s.gauge.n {
 		patience *= 2
 	}
-	for _, a := range slices.Clone(s.gauge.out[:min(len(s.gauge.out), moveMost)]) {
-		q := a.q
-		if !q.ended && !q.Write && q.class.Effect == Safe && r.now-a.at > patience &&
-			r.budgets[q.class].Second(r.now) {
-			q.missed = true
-			r.act(Cancel{ID: q.ID, Attempt: slices.Index(q.attempts, a)})
+	for _, a := range s.gauge.out[:min(len(s.gauge.out), moveMost)] {
+		if a.movable(r) && !a.q.Write && r.now-a.at > patience && r.budgets[a.q.class].Second(r.now) {
+			a.q.missed = true
+			r.cancel(a)
 		}
 	}
 }
@@ -642,6 +637,10 @@
 			r.probe(s)
 		}
 	}
+	if r.set.CrossPrice > 0 && r.origin != nil {
+		r.reach.Step(zones.Load{Origin: r.origin.gauge.slowPart(r.now), Near: r.home.slowPart(r.now),
+			All: r.pool.slowPart(r.now), Waiting: r.line.Len()})
+	}
 	r.tell()
 	if r.set.MustAsk && r.asking && r.now >= r.askAt {
 		r.act(Subscribe{})
@@ -675,6 +674,9 @@
 			s.silent = s.silent && l.Started <= s.since
 		}
 		s.Server, s.listed = l, l.State != Dead
+		if s.gauge.pool != nil && l.Zone == r.set.Zone {
+			s.gauge.pool = &r.home
+		}
 		if r.set.OriginKind != "" && l.Kind == r.set.OriginKind && s != r.origin {
 			r.origin = s
 			s.gauge.objectives, s.gauge.pool = r.objectives(), nil
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -597,15 +597,24 @@
 		t.Error("an excess write waited though the origin is well")
 	}
 	b.feed(60, time.Second, TimedOut)
-	for range 10 {
-		b.ask("high", "k", excess)
-	}
+	b.ask("high", "k", excess) // it takes the last place
+	b.ask("high", "k", excess)
 	if _, actions := b.ask("high", "k", excess); len(find[Send](actions)) > 0 {
 		t.Error("an excess write was sent to an origin far over its maximum")
 	}
-	if _, actions := b.ask("high", "k", write); b.sentTo(actions) != "o" {
-		t.Error("a write within its share waited")
+	within, _ := b.ask("high", "k", write)
+	for id := range within {
+		if b.sent[id] == 0 || len(b.r.origin.gauge.out) == 0 {
+			continue
+		}
+		for _, next := range find[Send](b.end(id, OK, 50*ms)) {
+			if next.ID != within {
+				t.Errorf("request %d went before the write within its share, %d", next.ID, within)
+			}
+			return
+		}
 	}
+	t.Error("no write of those that wait went on as the origin got room")
 }
 
 func TestSilence(t *testing.T) {
--- a/brain/router.go
+++ b/brain/router.go
@@ -12,6 +12,7 @@
 	"shelfproxy/internal/admission"
 	"shelfproxy/internal/gossip"
 	"shelfproxy/internal/tally"
+	"shelfproxy/internal/zones"
 )
 
 // bucket ranks work by worth; the highest value is refused first.
@@ -38,6 +39,7 @@
 	*objectives
 	out           []*attempt // still out, oldest first
 	pool          *gauge     // of all cache servers together; nil for the pool itself and the origin
+	held          bool       // what it times waits in line before: its timings say nothing of quiet ones
 	n, slow, over float64    // timings: all, over the target, over the maximum
 	at            Time       // when they were last aged
 }
@@ -80,6 +82,7 @@
 	open     int
 	ended    bool
 	avoid    *server  // failed this request
+	worth    float64  // of the greatest
 	beyond   bool     // its tenant's share
 	missed   bool     // at a cache server; the next step is the origin
 	risk     *attempt // first attempt that may have run
@@ -130,10 +133,17 @@
 	sweepAt   Time          // when counts are scaled back next
 	asking    bool
 	ticking   bool
+	home      gauge // of the cache servers of the own zone
+	reach     zones.Reach
+	gate      admission.Concurrency    // how much may be out at the origin
+	line      admission.Line[*request] // what waits for it
 	askWait   time.Duration
 	askAt     Time
 }
 
+// gateMost is what may be out at the origin before anything is known of it.
+const gateMost = 64
+
 // Second attempts that a class may have: a share of its first ones, some a second in any case, and so many saved up,
 // past the first few no more than the last second earned: 300 routers of 18 requests a second would else have 9,000 of
 // them in hand when a crowd begins, half of all requests of three seconds, and 900 more a second. What is worth most may
@@ -153,7 +163,7 @@
 		tenants: map[string]*tenant{}, byID: map[string]*server{}, unreached: map[string]int{},
 		requests: map[uint64]*request{}, flights: map[string]*flight{},
 		byMark: map[gossip.Mark]*server{}, talk: gossip.Talk{Mute: !set.Peers, Nodes: set.Routers},
-		one: 1, budgets: map[*Class]*admission.Budget{}}
+		one: 1, gate: admission.Concurrency{Most: gateMost}, budgets: map[*Class]*admission.Budget{}}
 	if err := set.validate(); err != nil {
 		return nil, err
 	}
@@ -171,6 +181,7 @@
 	}
 	r.pool.objectives = r.objectives()
 	r.pool.floor = time.Duration(float64(r.pool.limit) * poolFloor)
+	r.home.objectives, r.home.pool = r.pool.objectives, &r.pool
 	r.askWait = r.askFirst()
 	if r.pace = pace; set.Peers {
 		r.pace = paceTold
@@ -223,6 +234,7 @@
 			r.unpark(q)
 		}
 	}
+	r.release()
 	return r.acts
 }
 
@@ -246,6 +258,9 @@
 // end forgets a request once it has ended and nothing of it is out.
 func (r *Router) end(q *request) {
 	q.ended, q.parked = true, false
+	if r.line.Drop(q) { // those that wait for its fetch need another one
+		r.land(q, false)
+	}
 	if q.open == 0 {
 		delete(r.requests, q.ID)
 	}
@@ -282,7 +297,11 @@
 	g.n, g.slow = g.n+n, g.slow+bad
 }
 
+// count takes a timing, for all that the gauge is a part of too.
 func (g *gauge) count(now Time, took time.Duration, failed bool) {
+	if g.pool != nil {
+		g.pool.count(now, took, failed)
+	}
 	g.age(now)
 	g.n++
 	if failed || took > g.target {
@@ -303,6 +322,21 @@
 	g.at = now
 }
 
+// slowPart is the share of recent work over the target.
+func (g *gauge) slowPart(now Time) float64 {
+	slow, _ := g.utilisation(now)
+	return slow
+}
+
+// movable tells whether an attempt may be called off for another one.
+func (a *attempt) movable(r *Router) bool {
+	return r.set.Cancels && !a.q.ended && a.q.class.Effect == Safe
+}
+
+func (r *Router) cancel(a *attempt) {
+	r.act(Cancel{ID: a.q.ID, Attempt: slices.Index(a.q.attempts, a)})
+}
+
 // drop forgets an attempt that is no longer waited for.
 func (g *gauge) drop(a *attempt) {
 	g.out = slices.DeleteFunc(g.out, func(b *attempt) bool { return a == b })
--- a/brain/settings.go
+++ b/brain/settings.go
@@ -24,8 +24,8 @@
 		return errors.New("brain: Settings.MustAskIn or DrainGrace is negative")
 	case set.Tick < 0 || set.MaxRetryAfter < 0:
 		return errors.New("brain: Settings.Tick or MaxRetryAfter is negative")
-	case !(set.ConnectionPrice >= 0) || !(set.HandshakePrice >= 0):
-		return errors.New("brain: Settings.ConnectionPrice or HandshakePrice is negative")
+	case !(set.ConnectionPrice >= 0) || !(set.HandshakePrice >= 0) || !(set.CrossPrice >= 0):
+		return errors.New("brain: Settings.ConnectionPrice, HandshakePrice or CrossPrice is negative")
 	case len(set.Classes) == 0:
 		return errors.New("brain: Settings.Classes is empty")
 	}
--- /dev/null
+++ b/internal/admission/concurrency.go
@@ -0,0 +1,79 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// Concurrency bounds how much is out at one server at a time by how long answers take, so that what waits for it waits
+// where its order can still be chosen. It is the congestion control of a window: where answers take twice the time that
+// the server needs, half of what is out only queues, and half of the limit goes; then it comes back bit by bit while it is
+// what holds work up. What the server needs shows after each cut, when the queue has drained, or where next to nothing is
+// out: it may have become slower, and no limit makes it quicker.
+type Concurrency struct {
+	Most float64 // the limit at its start, and never above it
+
+	limit float64
+	cutAt Time // when it was last cut
+	base  [2]base
+}
+
+// base is how long one sort of work takes: of late, and the least of that, which is what the server needs. The least is
+// forgotten slowly, as a crowd that never drains must not pass for the server's own time.
+type base struct {
+	mean, least time.Duration
+	n           int // answers that the mean is of
+	at          Time
+}
+
+const (
+	cut        = 0.5              // of the limit stays when it is cut
+	crowded    = 1.6              // times the least mean that is a crowd
+	bottom     = 2.0              // limit from which on a long answer is the server's own
+	growth     = 0.1              // of the limit comes back in a round, and one place at least
+	few        = 8                // answers that a mean is of
+	leastFades = 30 * time.Second // the least mean weighs e times as much after this long
+)
+
+// Limit is how much may be out.
+func (c *Concurrency) Limit() int {
+	if c.limit == 0 {
+		c.limit = c.Most
+	}
+	return int(c.limit)
+}
+
+// Timed takes the time of an answer, or of one that did not come. Writes and reads take different times. A mean up to calm
+// is no crowd in any case; full says that the server turned it away; out is how much was out, this one among it.
+func (c *Concurrency) Timed(now Time, write bool, took, calm time.Duration, full bool, out int) {
+	c.Limit()
+	if c.cutAt > 0 && now-took < c.cutAt {
+		return // sent before the last cut: it tells nothing of it
+	}
+	b := &c.base[0]
+	if write {
+		b = &c.base[1]
+	}
+	if b.n < few {
+		b.n++
+	}
+	b.mean += (took - b.mean) / time.Duration(b.n)
+	known := b.n == few
+	if known {
+		faded := time.Duration(float64(b.least) * math.Exp(float64(now-b.at)/float64(leastFades)))
+		if b.at = now; b.least == 0 || b.mean < faded {
+			faded = b.mean
+		}
+		b.least = faded
+	}
+	switch {
+	case full || known && b.mean > max(calm, time.Duration(crowded*float64(b.least))):
+		if c.limit <= bottom && !full {
+			b.least = b.mean
+		}
+		c.limit, c.cutAt = max(1, min(c.limit, float64(out))*cut), now
+		c.base[0].n, c.base[1].n = 0, 0
+	case float64(out) >= c.limit-1:
+		c.limit = min(c.Most, c.limit+max(1/c.limit, growth))
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -72,6 +72,7 @@
 	Prices struct {
 		Connection float64 `json:"connection"`
 		Handshake  float64 `json:"handshake"`
+		Cross      float64 `json:"cross_zone"`
 	} `json:"deductions"`
 	Tick int64 `json:"tick"`
 }
@@ -107,7 +108,7 @@
 		ColdFrom: in.Rules.ColdFrom, WarmAfter: micros(in.Rules.WarmAfter),
 		FallFactor: in.Rules.Overload,
 		MustAskIn:  micros(in.Rules.MustAskIn), DrainGrace: micros(in.Rules.Drain),
-		ConnectionPrice: in.Prices.Connection, HandshakePrice: in.Prices.Handshake,
+		ConnectionPrice: in.Prices.Connection, HandshakePrice: in.Prices.Handshake, CrossPrice: in.Prices.Cross,
 	}
 	if in.Limits.RetryAfter {
 		set.MaxRetryAfter = micros(in.Limits.MaxRetryAfter)
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -24,6 +24,15 @@
 	return max(n*math.Exp(-float64(dt)/float64(window)), min(n, enough)*math.Exp(-float64(dt)/float64(age)))
 }
 
+// Weight is what one request counts from now on, where all of them count all together and one counted one so much: counts
+// fade by making later ones weigh more.
+func Weight(all, one float64, dt, window time.Duration, enough float64, age time.Duration) float64 {
+	if all <= 0 {
+		return one
+	}
+	return all / max(Fade(all/one, dt, window, enough, age), 1e-9)
+}
+
 // Keys counts requests by key. Counts fade by making later ones weigh more.
 type Keys struct {
 	counts   map[gossip.Mark]float64
@@ -38,10 +47,7 @@
 	if k.counts == nil {
 		k.counts, k.one = map[gossip.Mark]float64{}, 1
 	}
-	if k.all > 0 {
-		n := Fade(k.all/k.one, now-k.at, window, enough*servers, age)
-		k.one = k.all / max(n, 1e-9)
-	}
+	k.one = Weight(k.all, k.one, now-k.at, window, enough*servers, age)
 	k.all, k.at = k.all+k.one, now
 	k.counts[key] += k.one
 }
