Bound by a budget what leaves a key's server for one near by, so that the design's claim holds

Change: zones.Reach takes the share of requests that may leave their key's server (settings LeaveOwner, operator's file zones.leave_owner) and stops at the weight that it follows from by the highest hash; 0.04 unless an operator says otherwise.

--- a/brain/api.go
+++ b/brain/api.go
@@ -70,6 +70,10 @@
 	// request; and what each request costs that crosses zones once. Zero is no price.
 	ConnectionPrice, HandshakePrice, CrossPrice float64
 
+	// LeaveOwner is the share of reads that may leave the server which holds their key for one of the own zone, where
+	// crossing zones has a price: zones.DefaultLeave, if nothing else is wanted, up to 1.
+	LeaveOwner float64
+
 	MaxAttempts   int           // attempts a request may have
 	MaxRetryAfter time.Duration // longest advice that clients follow; 0 where none may be given
 	Tick          time.Duration // shortest gap between two calls with different times
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -638,8 +638,8 @@
 		}
 	}
 	if r.set.CrossPrice > 0 && r.origin != nil {
-		r.reach.Step(zones.Load{Origin: r.origin.gauge.slowPart(r.now), Near: r.home.slowPart(r.now),
-			All: r.pool.slowPart(r.now), Waiting: r.line.Len()})
+		r.reach.Step(zones.Load{Home: r.homePart, Origin: r.origin.gauge.slowPart(r.now),
+			Near: r.home.slowPart(r.now), All: r.pool.slowPart(r.now), Waiting: r.line.Len()})
 	}
 	r.tell()
 	if r.set.MustAsk && r.asking && r.now >= r.askAt {
--- a/brain/origin_test.go
+++ b/brain/origin_test.go
@@ -98,7 +98,7 @@
 func TestReadsStayInTheirZone(t *testing.T) {
 	for _, price := range []float64{0, 0.13} {
 		set := testSettings()
-		set.Zone, set.CrossPrice = "a", price
+		set.Zone, set.CrossPrice, set.LeaveOwner = "a", price, 1
 		b := newBench(t, set, "s1", "s2", "s3")
 		far := List{Scope: Changes}
 		for i := range 3 {
--- a/brain/router.go
+++ b/brain/router.go
@@ -133,7 +133,8 @@
 	sweepAt   Time          // when counts are scaled back next
 	asking    bool
 	ticking   bool
-	home      gauge // of the cache servers of the own zone
+	home      gauge   // of the cache servers of the own zone
+	homePart  float64 // their share of all servers' weights
 	reach     zones.Reach
 	gate      admission.Concurrency    // how much may be out at the origin
 	line      admission.Line[*request] // what waits for it
@@ -163,7 +164,7 @@
 		tenants: map[string]*tenant{}, byID: map[string]*server{}, unreached: map[string]int{},
 		requests: map[uint64]*request{}, flights: map[string]*flight{},
 		byMark: map[gossip.Mark]*server{}, talk: gossip.Talk{Mute: !set.Peers, Nodes: set.Routers},
-		one: 1, gate: admission.Concurrency{Most: gateMost}, budgets: map[*Class]*admission.Budget{}}
+		one: 1, reach: zones.Reach{Leave: set.LeaveOwner}, gate: admission.Concurrency{Most: gateMost}, budgets: map[*Class]*admission.Budget{}}
 	if err := set.validate(); err != nil {
 		return nil, err
 	}
@@ -378,10 +379,18 @@
 // forgetServers drops servers that left the list and have nothing out, and counts those that take keys.
 func (r *Router) forgetServers() {
 	r.takers, r.units = 0, 0
+	var home, all float64
 	r.servers = slices.DeleteFunc(r.servers, func(s *server) bool {
 		if r.takesKeys(s) {
 			r.takers++
 			r.units += s.Units
+			weight := 1.0
+			if r.set.SizedUnits && s.Units > 0 {
+				weight = s.Units
+			}
+			if all += weight; s.Zone == r.set.Zone {
+				home += weight
+			}
 		}
 		gone := !s.listed && !s.probing && len(s.gauge.out) == 0
 		if gone {
@@ -390,6 +399,7 @@
 		}
 		return gone
 	})
+	r.homePart = home / max(all, 1e-9)
 	r.units /= max(r.takers, 1)
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -101,6 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.Module.LeaveOwner = op.Zones.Leave
 	if c.Tells() {
 		if err := c.Peers.Check(); err != nil {
 			return nil, err
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -10,6 +10,7 @@
 	"shelfproxy/brain"
 	"shelfproxy/internal/logs"
 	"shelfproxy/internal/tomlfile"
+	"shelfproxy/internal/zones"
 )
 
 // Operator is the operator's own file, in TOML. Whatever LB_CONFIG and the LB_ variables say goes before it; what
@@ -34,6 +35,7 @@
 	Listener Listener `toml:"listener"`
 	Pools    Pools    `toml:"pools"`
 	Shutdown Shutdown `toml:"shutdown"`
+	Zones    Zones    `toml:"zones"`
 	Service  *Service `toml:"service"` // in place of LB_CONFIG's settings
 
 	file *tomlfile.File
@@ -63,6 +65,11 @@
 	Last  tomlfile.Duration `toml:"last"`  // every answer is given by then, however long its client would wait
 }
 
+// Zones says how keys are placed over zones.
+type Zones struct {
+	Leave float64 `toml:"leave_owner"` // share of reads that may go to a server of the own zone in place of their key's, 0 to 1
+}
+
 // Service is what the nodes of a deployment have in common.
 type Service struct {
 	Nodes          int               `toml:"nodes"` // that share the traffic
@@ -109,6 +116,7 @@
 		Shutdown: Shutdown{Grace: tomlfile.Duration(2200 * time.Millisecond),
 			Last: tomlfile.Duration(3400 * time.Millisecond)},
 	}
+	o.Zones.Leave = zones.DefaultLeave
 	o.Limits.MemoryMB, o.Limits.Sockets = 192, 1024
 	o.Log.Level, o.Log.Format = "info", "auto"
 	return o
@@ -157,6 +165,7 @@
 		{field: "pools.target_share", v: p.TargetShare, least: 0.05, most: 0.8},
 		{field: "pools.origin_share", v: p.OriginShare, least: 0.02, most: 0.5},
 		{field: "pools.connections", v: float64(p.Connections), least: 1, most: 4096},
+		{field: "zones.leave_owner", v: o.Zones.Leave, least: 0, most: 1},
 		{field: "pools.waiting", v: float64(p.Waiting), least: 1, most: 65536},
 	} {
 		if !(r.v >= r.least && r.v <= r.most) {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"shelfproxy/brain"
+	"shelfproxy/internal/zones"
 )
 
 // Settings are what the deployment tells every node, in the simulator and on sockets.
@@ -108,7 +109,7 @@
 		ColdFrom: in.Rules.ColdFrom, WarmAfter: micros(in.Rules.WarmAfter),
 		FallFactor: in.Rules.Overload,
 		MustAskIn:  micros(in.Rules.MustAskIn), DrainGrace: micros(in.Rules.Drain),
-		ConnectionPrice: in.Prices.Connection, HandshakePrice: in.Prices.Handshake, CrossPrice: in.Prices.Cross,
+		ConnectionPrice: in.Prices.Connection, HandshakePrice: in.Prices.Handshake, CrossPrice: in.Prices.Cross, LeaveOwner: zones.DefaultLeave,
 	}
 	if in.Limits.RetryAfter {
 		set.MaxRetryAfter = micros(in.Limits.MaxRetryAfter)
--- a/internal/config/show.go
+++ b/internal/config/show.go
@@ -54,6 +54,7 @@
 	file("pools.waiting", o.Pools.Waiting)
 	file("shutdown.grace", o.Shutdown.Grace)
 	file("shutdown.last", o.Shutdown.Last)
+	file("zones.leave_owner", o.Zones.Leave)
 
 	m, n := c.Module, c.Node
 	set := func(field string, v any) { add("settings."+field, v, c.from["settings"]) }
@@ -73,7 +74,7 @@
 	set("sized_weights", m.SizedUnits)
 	set("tick", m.Tick)
 	set("cold", fmt.Sprintf("from %v, warm after %v, falls over past %v", m.ColdFrom, m.WarmAfter, m.FallFactor))
-	set("prices", fmt.Sprintf("connection %v, handshake %v", m.ConnectionPrice, m.HandshakePrice))
+	set("prices", fmt.Sprintf("connection %v, handshake %v, crossing %v", m.ConnectionPrice, m.HandshakePrice, m.CrossPrice))
 	for _, cl := range m.Classes {
 		set("class."+cl.Name, fmt.Sprintf("worth %v, aim %v, late %v, %s, window %v, group %v", cl.Worth, cl.Aim, cl.Late,
 			effectWords[cl.Effect], cl.Window, cl.Group))
