Leave out servers that nobody answers at, where they may not be asked whether they are there

Change: internal/health.Breaker, fed with failed attempts (time-outs only while no crowd makes them late): the third in a row with no sign of life for half a second takes the server out; then one request at a time asks, after 1, 2, 4 and 8 s. Zones are not cut without probes.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -62,13 +62,9 @@
 // learn takes a quiet timing into target and maximum, which fall at once and rise slowly: a crowd that
 // builds up must not pass for the normal time. Before the first timings the shortest aim is the target.
 func (o *objectives) learn(took time.Duration) {
-	if len(o.quiet) < quietCount {
-		o.quiet = append(o.quiet, took)
-	} else {
-		o.quiet[o.next%quietCount] = took
-	}
+	o.quiet[o.next%quietCount] = took
 	if o.next++; o.next >= quietFirst && (o.next < quietCount || o.next%8 == 0) {
-		sorted := slices.Sorted(slices.Values(o.quiet))
+		sorted := slices.Sorted(slices.Values(o.quiet[:min(o.next, quietCount)]))
 		target := min(o.limit, sorted[len(sorted)/2]*targetOver)
 		if o.next > quietCount {
 			target = min(target, o.target+o.target/creep)
@@ -128,8 +124,8 @@
 			continue // a bad server keeps part of its slots, the same ones at every router
 		}
 		// A zone that is cut off must not be found out server by server: each costs a connect that fails.
-		cut := s.Zone != r.set.Zone && r.unreached[s.Zone] >= cutOff
-		if s.silent || cut || s == avoid || !r.takesKeys(s) {
+		cut := r.set.Probes && s.Zone != r.set.Zone && r.unreached[s.Zone] >= cutOff
+		if s.silent && (r.set.Probes || s.breaker.Open(r.now)) || cut || s == avoid || !r.takesKeys(s) {
 			continue
 		}
 		weight := r.warmth(s)
@@ -429,6 +425,7 @@
 		r.giveUp(q)
 		return
 	}
+	s.breaker.Try(r.now)
 	a := &attempt{q: q, srv: s, at: r.now, open: true}
 	q.attempts = append(q.attempts, a)
 	q.open++
@@ -475,8 +472,7 @@
 	a.open = false
 	q.open--
 	s.gauge.drop(a)
-	// Many routers with a connection each fill a server's table, and it turns the others away. Where that
-	// costs more than a new connection for each request, none is held idle but to the origin.
+	// Where idle connections of many routers cost more than new ones, none is held but to the origin.
 	dear := r.set.ConnectionPrice*float64(r.set.Routers)/100 > r.set.HandshakePrice
 	if dear && s != r.origin && len(s.gauge.out) == 0 {
 		r.act(Close{s.ID})
@@ -495,9 +491,14 @@
 			s.refused = s.refused || e.Took < refusedBy
 		}
 		r.saw(s, e.Took, true)
-		// None of these must be read as death: only an unanswered probe takes it out of the map.
-		if s != r.origin && !s.silent {
+		// None of these must be read as death. An unanswered probe takes it out; where none is allowed,
+		// several in a row do that no crowd made late.
+		switch crowd := e.Reason == TimedOut && r.pool.slowPart(r.now) > calm; {
+		case s == r.origin:
+		case r.set.Probes && !s.silent:
 			r.probe(s)
+		case !r.set.Probes && !crowd && s.breaker.Failed(r.now) && !s.silent:
+			r.silence(s)
 		}
 	case OK, Errored, Rejected:
 		r.saw(s, e.Took, e.Reason != OK)
@@ -558,6 +559,7 @@
 // alive notes a sign of life.
 func (r *Router) alive(s *server) {
 	s.heard, s.resets = r.now, 0
+	s.breaker.Answered(r.now)
 	r.unreached[s.Zone] = 0
 	if s.silent {
 		s.silent = false
@@ -662,10 +664,8 @@
 	case Changes, Full:
 		r.asking, r.askWait = false, r.askFirst()
 	}
-	if e.Scope != Changes {
-		for _, s := range r.servers {
-			s.listed = false
-		}
+	for _, s := range r.servers {
+		s.listed = s.listed && e.Scope == Changes
 	}
 	for _, l := range e.Servers {
 		s := r.server(l.ID)
--- a/brain/router.go
+++ b/brain/router.go
@@ -11,6 +11,7 @@
 
 	"shelfproxy/internal/admission"
 	"shelfproxy/internal/gossip"
+	"shelfproxy/internal/health"
 	"shelfproxy/internal/tally"
 	"shelfproxy/internal/zones"
 )
@@ -27,7 +28,7 @@
 
 // objectives are the target and maximum latency, learned from quiet timings.
 type objectives struct {
-	quiet       []time.Duration // the last of them, as a ring
+	quiet       [quietCount]time.Duration // the last of them, as a ring
 	next        int
 	floor       time.Duration // the target is never below it
 	limit       time.Duration // nor above it
@@ -62,6 +63,7 @@
 	doubt   int     // hits still wanted to show that it was only cut off; 0 without a doubt
 	asked   float64 // requests, or parts of those of hot keys, that it was a choice for; counted like keys
 	opinion gossip.Opinion
+	breaker health.Breaker // where a server may not be asked whether it is there
 	gauge   gauge
 }
 
