Have real nodes agree on who goes out: beacons, operators' calls, and fleets of processes in tests

The shell of internal/rollout: internal/rollout/agent owns the core with one goroutine behind a bounded queue, the daemon tells its datagrams from gossip by their first byte, and shelfproxy ctl (status, drain, halt, resume, roll RELEASE) speaks to a Unix socket. Off unless an operator's file sets rollout.nodes_out and the deployment allows messages. SIGHUP moves the budget.

--- a/cmd/shelfproxy/main.go
+++ b/cmd/shelfproxy/main.go
@@ -77,6 +77,7 @@
 			return w.Flush()
 		}})
 	root.AddCommand(conf)
+	root.AddCommand(ctl(load))
 	return root
 }
 
--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -14,6 +14,7 @@
 	"runtime/debug"
 	"runtime/metrics"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,6 +29,8 @@
 	"shelfproxy/internal/node"
 	"shelfproxy/internal/origin"
 	"shelfproxy/internal/peers"
+	"shelfproxy/internal/rollout"
+	"shelfproxy/internal/rollout/agent"
 	"shelfproxy/internal/target"
 )
 
@@ -47,6 +50,8 @@
 	node  *node.Node
 	front *listener.Listener
 
+	agent            *agent.Agent // nil where nodes go when they are told
+	leave            chan struct{}
 	memory           admission.Memory
 	pressure         float64 // as the node was told
 	split            *admission.Split
@@ -68,6 +73,11 @@
 		close(ended)
 	}()
 	go d.front.Serve()
+	if d.agent != nil {
+		go d.agent.Run(ended)
+		go d.serveControl(ended)
+		d.agent.Post(rollout.Up{})
+	}
 	d.log.Info("the node is up", logs.Event, "started", "name", cfg.Name, "listen", cfg.Listen)
 
 	begun := time.Now()
@@ -83,7 +93,15 @@
 			d.weigh(time.Since(begun))
 		case <-usr:
 			d.tally()
+		case <-d.leave:
+			if over == nil {
+				d.log.Info("the node goes out by agreement of the fleet", logs.Event, "rollout_leaves")
+				over = d.shutDown()
+			}
 		case <-term:
+			if d.agent != nil {
+				d.agent.Post(rollout.Going{})
+			}
 			if over == nil {
 				d.log.Info("the node ends", logs.Event, "stopping")
 				over = d.shutDown()
@@ -161,8 +179,25 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	heard := n.Heard
+	leave := make(chan struct{}, 1)
+	var agreement *agent.Agent
+	if socket != nil && op.Rollout.NodesOut > 0 {
+		if agreement, err = newAgent(cfg, socket, count, leave, logs.Component(log, "rollout")); err != nil {
+			return nil, fmt.Errorf("rollout: %w", err)
+		}
+		heard = func(from int, data []byte) {
+			if len(data) > 0 && data[0] == rollout.Mark {
+				agreement.Heard(from, data)
+			} else {
+				n.Heard(from, data)
+			}
+		}
+	} else if op.Rollout.NodesOut > 0 {
+		logs.Component(log, "rollout").Warn("nodes may not send each other messages here: each goes when it is told", logs.Event, "rollout_off")
+	}
 	if socket != nil {
-		go listenToPeers(socket, n, count, logs.Component(log, "peers"))
+		go listenToPeers(socket, heard, count, logs.Component(log, "peers"))
 	}
 	ln, err := bind(log, cfg.Listen, func() (net.Listener, error) { return net.Listen("tcp", cfg.Listen) })
 	if err != nil {
@@ -171,7 +206,7 @@
 	front := listener.New(ln, n, classes, tenants, listener.Limits{Conns: start[admission.Clients],
 		Pipelined: min(op.Listener.Pipelined, max(leastPipelined, cfg.MemoryMB/pipelinedMB)), Value: 64 << 10, Write: op.Listener.Write.D(), Silent: op.Listener.Silent.D(),
 		Crowd: op.Listener.IdleCrowded.D(), Idle: op.Listener.Idle.D(), Owed: cfg.MemoryMB << 20 / 6}, count)
-	return &daemon{memory: admission.Memory{Limit: int64(cfg.MemoryMB) << 20}, cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front,
+	return &daemon{agent: agreement, leave: leave, memory: admission.Memory{Limit: int64(cfg.MemoryMB) << 20}, cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front,
 		split: admission.NewSplit(split), targets: targets, origins: origins}, nil
 }
 
@@ -205,9 +240,30 @@
 	}
 }
 
-func listenToPeers(socket *peers.Socket, n *node.Node, count *counters.Counters, log *slog.Logger) {
+// newAgent makes this node's part in the agreement on who may go out.
+func newAgent(cfg *config.Config, socket *peers.Socket, count *counters.Counters, leave chan struct{}, log *slog.Logger) (*agent.Agent, error) {
+	counts := make([]*atomic.Int64, rollout.Notes)
+	for kind := range rollout.Notes {
+		counts[kind] = count.More("rollout_" + kind.String())
+	}
+	r := cfg.Operator.Rollout
+	core := r.Core(cfg.Peers.Self(), len(cfg.Peers.Peers), cfg.Module.Zone, uint64(time.Now().UnixMilli()), cfg.Seed)
+	return agent.New(agent.Options{Core: core, Control: r.Control, Send: socket.TellTo, Log: log,
+		Go:     func() { leave <- struct{}{} },
+		Served: func() (int, int) { return count.Total(int(flow.Failed)) },
+		Note:   func(kind rollout.NoteKind) { counts[kind].Add(1) }})
+}
+
+// serveControl takes operators' calls. Without it the node serves on, as operators have signals too.
+func (d *daemon) serveControl(stop <-chan struct{}) {
+	if err := d.agent.Serve(stop); err != nil {
+		d.log.Error("operators' calls are not taken", logs.Event, "control_failed", "error", err.Error())
+	}
+}
+
+func listenToPeers(socket *peers.Socket, heard func(int, []byte), count *counters.Counters, log *slog.Logger) {
 	var once sync.Once
-	err := socket.Receive(n.Heard, func(from netip.AddrPort) {
+	err := socket.Receive(heard, func(from netip.AddrPort) {
 		count.PeersForeign.Add(1)
 		once.Do(func() {
 			log.Warn("a datagram came that no node of this tier sent", logs.Event, "peer_foreign", "from", from.String())
@@ -289,6 +345,14 @@
 	for _, field := range d.cfg.Fixed(cfg) {
 		d.log.Warn("reload: a field changed that takes effect at the next start", logs.Event, "reload_waits", "field", field)
 	}
+	if r := cfg.Operator.Rollout; d.agent != nil && r != d.cfg.Operator.Rollout {
+		d.log.Info("reload: the budget changes", logs.Event, "rollout_budget", "nodes_out", r.NodesOut, "zone_out", r.ZoneOut)
+		d.agent.Post(rollout.Budget{Nodes: r.NodesOut, Zone: r.ZoneOut})
+		kept, op := *d.cfg, *d.cfg.Operator
+		op.Rollout = r
+		kept.Operator = &op
+		d.cfg = &kept
+	}
 	if d.cfg.Discovery != cfg.Discovery {
 		d.log.Info("reload: discovery moves", logs.Event, "discovery_moved", "from", d.cfg.Discovery, "to", cfg.Discovery)
 		d.node.Follow(&discovery.Client{Addr: cfg.Discovery})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,6 +43,7 @@
 	for i, s := range mine {
 		switch {
 		case s.Field == "discovery" || s.Field == "seed" || s.Field == "known":
+		case s.Field == "rollout.nodes_out" || s.Field == "rollout.zone_out": // these move, too
 		case i >= len(theirs) || theirs[i].Field != s.Field:
 			return append(fields, "settings") // other classes
 		case theirs[i].Value != s.Value:
@@ -107,6 +108,9 @@
 			return nil, err
 		}
 	}
+	if op.Rollout.NodesOut > 0 && c.Tells() && c.Peers.Self() < 0 {
+		return nil, fmt.Errorf("peer_listen: %q is not among the peers, and rollout.nodes_out wants an agreement with them", c.Peers.Listen)
+	}
 	if c.seed == "" && v == nil {
 		// Nodes with the same random numbers would all do the same thing at the same moment.
 		c.Seed, c.from["seed"] = rand.Uint64(), "drawn at the start"
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -9,6 +9,7 @@
 
 	"shelfproxy/brain"
 	"shelfproxy/internal/logs"
+	"shelfproxy/internal/rollout"
 	"shelfproxy/internal/tomlfile"
 	"shelfproxy/internal/zones"
 )
@@ -36,6 +37,7 @@
 	Pools    Pools    `toml:"pools"`
 	Shutdown Shutdown `toml:"shutdown"`
 	Zones    Zones    `toml:"zones"`
+	Rollout  Rollout  `toml:"rollout"`
 	Service  *Service `toml:"service"` // in place of LB_CONFIG's settings
 
 	file *tomlfile.File
@@ -70,6 +72,31 @@
 	Leave float64 `toml:"leave_owner"` // share of reads that may go to a server of the own zone in place of their key's, 0 to 1
 }
 
+// Rollout says how many nodes may be out of service at once, by agreement of the fleet. It takes effect where nodes may
+// send each other messages.
+type Rollout struct {
+	NodesOut    int               `toml:"nodes_out"`    // at once; 0: each node goes when it is told
+	ZoneOut     int               `toml:"zone_out"`     // of one zone; 0: no bound of its own
+	Release     string            `toml:"release"`      // that this node runs
+	Control     string            `toml:"control"`      // path of the Unix socket for shelfproxy ctl
+	Beacon      tomlfile.Duration `toml:"beacon"`       // between two words of a node
+	Silent      tomlfile.Duration `toml:"silent"`       // a node unheard for so long is out
+	Lease       tomlfile.Duration `toml:"lease"`        // an ask counts for so long, and a start grants nothing before
+	Return      tomlfile.Duration `toml:"return"`       // a node that is out for longer halts the release
+	Lost        tomlfile.Duration `toml:"lost"`         // and gives its slot up after this
+	Watch       tomlfile.Duration `toml:"watch"`        // a node is fit after it did well for so long
+	MaxFailed   float64           `toml:"max_failed"`   // share of its answers that may fail meanwhile
+	LeastJudged int               `toml:"least_judged"` // answers from which that is judged
+	Drift       float64           `toml:"drift"`        // of two nodes' clocks against each other, at most
+}
+
+// Core is what the agreement's core is told, as node self of so many.
+func (r Rollout) Core(self, nodes int, zone string, start, seed uint64) rollout.Config {
+	return rollout.Config{Self: self, Nodes: nodes, Zone: zone, Budget: r.NodesOut, ZoneBudget: r.ZoneOut, Beacon: r.Beacon.D(),
+		Silent: r.Silent.D(), Lease: r.Lease.D(), Return: r.Return.D(), Lost: r.Lost.D(), Watch: r.Watch.D(), Drift: r.Drift,
+		Release: r.Release, MaxFailed: r.MaxFailed, LeastJudged: r.LeastJudged, Start: start, Seed: seed}
+}
+
 // Service is what the nodes of a deployment have in common.
 type Service struct {
 	Nodes          int               `toml:"nodes"` // that share the traffic
@@ -117,6 +144,9 @@
 			Last: tomlfile.Duration(3400 * time.Millisecond)},
 	}
 	o.Zones.Leave = zones.DefaultLeave
+	o.Rollout = Rollout{Beacon: tomlfile.Duration(500 * time.Millisecond), Silent: tomlfile.Duration(3 * time.Second),
+		Lease: tomlfile.Duration(5 * time.Second), Return: tomlfile.Duration(time.Minute), Lost: tomlfile.Duration(10 * time.Minute),
+		Watch: tomlfile.Duration(10 * time.Second), MaxFailed: 0.2, LeastJudged: 20, Drift: 0.01}
 	o.Limits.MemoryMB, o.Limits.Sockets = 192, 1024
 	o.Log.Level, o.Log.Format = "info", "auto"
 	return o
@@ -191,6 +221,11 @@
 			return o.file.Errorf(r.field, "%s is not from %s to %s", r.v, r.least, r.most)
 		}
 	}
+	if o.Rollout.NodesOut != 0 {
+		if err := o.Rollout.Core(0, 1, "", 0, 0).Validate(); err != nil {
+			return o.file.Errorf("rollout", "%v", err)
+		}
+	}
 	if s.Last < s.Grace {
 		return o.file.Errorf("shutdown.last", "%s is before the end of shutdown.grace, %s", s.Last, s.Grace)
 	}
--- a/internal/config/show.go
+++ b/internal/config/show.go
@@ -55,6 +55,10 @@
 	file("shutdown.grace", o.Shutdown.Grace)
 	file("shutdown.last", o.Shutdown.Last)
 	file("zones.leave_owner", o.Zones.Leave)
+	file("rollout.nodes_out", o.Rollout.NodesOut)
+	file("rollout.zone_out", o.Rollout.ZoneOut)
+	file("rollout.release", o.Rollout.Release)
+	file("rollout.control", o.Rollout.Control)
 
 	m, n := c.Module, c.Node
 	set := func(field string, v any) { add("settings."+field, v, c.from["settings"]) }
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -26,6 +26,29 @@
 	in, sent                                                            []atomic.Int64 // by class
 	answered                                                            []atomic.Int64 // by class and answer
 	ended                                                               []atomic.Int64 // by class and end
+	more                                                                []named        // of parts that are switched on
+}
+
+type named struct {
+	name string
+	n    *atomic.Int64
+}
+
+// More adds a counter of a part that an operator switched on. It must be called before any other goroutine uses c.
+func (c *Counters) More(name string) *atomic.Int64 {
+	c.more = append(c.more, named{name, new(atomic.Int64)})
+	return c.more[len(c.more)-1].n
+}
+
+// Total is how many final answers there were, and how many of one kind.
+func (c *Counters) Total(kind int) (answers, ofKind int) {
+	for i := range c.answered {
+		n := int(c.answered[i].Load())
+		if answers += n; i%len(c.answers) == kind {
+			ofKind += n
+		}
+	}
+	return answers, ofKind
 }
 
 // New makes counters for these classes, kinds of final answers and ends of forwards.
@@ -86,6 +109,9 @@
 	line(&c.NoMemory, "flows_without_memory")
 	line(&c.Late, "answers_late")
 	line(&c.Gone, "flows_client_left")
+	for _, m := range c.more {
+		line(m.n, "%s", m.name)
+	}
 	for i, class := range c.classes {
 		line(&c.in[i], "flows_in{class=%q}", class)
 		line(&c.sent[i], "forwards_sent{class=%q}", class)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 )
 
 // MaxBytes is the longest datagram that the platform takes.
@@ -22,6 +23,7 @@
 type Socket struct {
 	conn *net.UDPConn
 	all  netip.AddrPort
+	to   []netip.AddrPort // by the nodes' numbers
 	from map[netip.Addr]int
 	self netip.Addr
 }
@@ -60,7 +62,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	return &Socket{conn: conn, all: all, from: from, self: listen.Addr()}, nil
+	s := &Socket{conn: conn, all: all, from: from, self: listen.Addr()}
+	for _, p := range a.Peers {
+		s.to = append(s.to, netip.MustParseAddrPort(p)) // parse took it
+	}
+	return s, nil
 }
 
 // Tell sends a datagram to all nodes. One that cannot be sent is lost, as any may be.
@@ -72,6 +78,18 @@
 	return err
 }
 
+// TellTo sends a datagram to one node, by its number.
+func (s *Socket) TellTo(node int, data []byte) error {
+	if len(data) > MaxBytes || node < 0 || node >= len(s.to) {
+		return fmt.Errorf("peers: no datagram of %d bytes goes to node %d", len(data), node)
+	}
+	_, err := s.conn.WriteToUDPAddrPort(data, s.to[node])
+	return err
+}
+
+// Self is this node's number among the peers, -1 if it is not among them.
+func (a Addresses) Self() int { return slices.Index(a.Peers, a.Listen) }
+
 // Receive hands over every datagram of another node, with that node's number, and counts the others as foreign, until
 // the socket is closed. The bytes belong to the receiver.
 func (s *Socket) Receive(heard func(from int, data []byte), foreign func(netip.AddrPort)) error {
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -683,7 +683,7 @@
 	State    string       `json:"state"`
 	Wants    bool         `json:"wants_out"`
 	Halted   string       `json:"halted,omitempty"`
-	HaltedBy int          `json:"halted_by,omitempty"`
+	HaltedBy int          `json:"halted_by"` // the node for which; -1 while nothing is halted
 	Out      []StatusNode `json:"out"`
 	Fit      int          `json:"fit"`
 	Budget   int          `json:"budget"`
@@ -698,7 +698,7 @@
 
 // Status tells who is out, and why nothing goes on where it does not.
 func (c *Core) Status(now Time) Status {
-	s := Status{Node: c.cfg.Self, State: c.state.String(), Wants: c.wants, Budget: c.cfg.Budget, Out: []StatusNode{}}
+	s := Status{Node: c.cfg.Self, State: c.state.String(), Wants: c.wants, Budget: c.cfg.Budget, HaltedBy: -1, Out: []StatusNode{}}
 	if c.halt.On {
 		s.Halted, s.HaltedBy = c.halt.Reason.String(), int(c.halt.By)
 	}
