--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -139,3 +139,11 @@
 		t.Errorf("by default takes for %v and answers by %v", grace, end)
 	}
 }
+
+// The operator's files that the repository brings are good.
+func TestDeployedFiles(t *testing.T) {
+	o, err := readOperator("../../deploy/fleet.toml")
+	if err != nil || o.Rollout.NodesOut != 4 {
+		t.Errorf("deploy/fleet.toml: %v, budget %d", err, o.Rollout.NodesOut)
+	}
+}
