--- a/brain/brain.go
+++ b/brain/brain.go
@@ -361,7 +361,7 @@
 	}
 	until, worth := q.aim-r.origin.gauge.target, q.worth
 	if q.Write {
-		until = min(r.latest(q), (r.now+q.Deadline)/2) // what never left is not refused late
+		until = min(q.aim, (r.now+q.Deadline)/2) // what never left is not refused late
 		if !q.beyond {
 			worth += ahead
 		}
