--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -174,15 +174,14 @@
 
 // peer is what is known of another node.
 type peer struct {
-	heard   Time // its last beacon
-	met     bool
-	start   uint64
-	count   uint32
-	state   State
-	done    uint32
-	release uint32
-	told    bool // it told its table since this node started
-	knows   bool // and granted itself by then, so the table is whole
+	heard Time // its last beacon
+	met   bool
+	start uint64
+	count uint32
+	state State
+	done  uint32
+	told  bool // it told its table since this node started
+	knows bool // and granted itself by then, so the table is whole
 }
 
 // grant is a slot that this node gave, or heard that others did.
@@ -551,7 +550,7 @@
 	if m.Start > p.start {
 		p.done = 0
 	}
-	p.met, p.heard, p.start, p.count, p.state, p.release = true, now, m.Start, m.Count, m.State, m.Release
+	p.met, p.heard, p.start, p.count, p.state = true, now, m.Start, m.Count, m.State
 	p.done = max(p.done, m.Done)
 	if m.State == Fit {
 		c.free(from, m.Start, m.Done) // of this process: what is over; of earlier ones: all
