Judge a node that starts beside the fit ones, by failures and late answers alike

Need: the rollout core halted a release by failed answers alone and against a fixed share. A new release whose nodes are slow went on through the whole fleet, and a crowd that fails everywhere halted a release that had nothing to do with it.

Change: beacons carry three bytes of how a node's answers of late went (failed, served after their class's aim); a node that starts is broken by what goes worse there than at the median of the fit ones (rollout.max_failed, rollout.max_slow). Beacons are of version 2, and from now on what a later version says behind the known fields is skipped, as nodes of two releases have to understand each other while one takes the other's place.

--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -249,9 +249,12 @@
 	r := cfg.Operator.Rollout
 	core := r.Core(cfg.Peers.Self(), len(cfg.Peers.Peers), cfg.Module.Zone, uint64(time.Now().UnixMilli()), cfg.Seed)
 	return agent.New(agent.Options{Core: core, Control: r.Control, Send: socket.TellTo, Log: log,
-		Go:     func() { leave <- struct{}{} },
-		Served: func() (int, int) { return count.Total(int(flow.Failed)) },
-		Note:   func(kind rollout.NoteKind) { counts[kind].Add(1) }})
+		Go: func() { leave <- struct{}{} },
+		Served: func() rollout.Served {
+			answers, failed := count.Total(int(flow.Failed))
+			return rollout.Served{Answers: answers, Failed: failed, Slow: int(count.Slow.Load())}
+		},
+		Note: func(kind rollout.NoteKind) { counts[kind].Add(1) }})
 }
 
 // serveControl takes operators' calls. Without it the node serves on, as operators have signals too.
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -85,7 +85,8 @@
 	Return      tomlfile.Duration `toml:"return"`       // a node that is out for longer halts the release
 	Lost        tomlfile.Duration `toml:"lost"`         // and gives its slot up after this
 	Watch       tomlfile.Duration `toml:"watch"`        // a node is fit after it did well for so long
-	MaxFailed   float64           `toml:"max_failed"`   // share of its answers that may fail meanwhile
+	MaxFailed   float64           `toml:"max_failed"`   // share of its answers that may fail meanwhile, past the others'
+	MaxSlow     float64           `toml:"max_slow"`     // and share of those that may come after their class's aim
 	LeastJudged int               `toml:"least_judged"` // answers from which that is judged
 	Drift       float64           `toml:"drift"`        // of two nodes' clocks against each other, at most
 }
@@ -94,7 +95,7 @@
 func (r Rollout) Core(self, nodes int, zone string, start, seed uint64) rollout.Config {
 	return rollout.Config{Self: self, Nodes: nodes, Zone: zone, Budget: r.NodesOut, ZoneBudget: r.ZoneOut, Beacon: r.Beacon.D(),
 		Silent: r.Silent.D(), Lease: r.Lease.D(), Return: r.Return.D(), Lost: r.Lost.D(), Watch: r.Watch.D(), Drift: r.Drift,
-		Release: r.Release, MaxFailed: r.MaxFailed, LeastJudged: r.LeastJudged, Start: start, Seed: seed}
+		Release: r.Release, MaxFailed: r.MaxFailed, MaxSlow: r.MaxSlow, LeastJudged: r.LeastJudged, Start: start, Seed: seed}
 }
 
 // Service is what the nodes of a deployment have in common.
@@ -146,7 +147,7 @@
 	o.Zones.Leave = zones.DefaultLeave
 	o.Rollout = Rollout{Beacon: tomlfile.Duration(500 * time.Millisecond), Silent: tomlfile.Duration(3 * time.Second),
 		Lease: tomlfile.Duration(5 * time.Second), Return: tomlfile.Duration(time.Minute), Lost: tomlfile.Duration(10 * time.Minute),
-		Watch: tomlfile.Duration(10 * time.Second), MaxFailed: 0.2, LeastJudged: 20, Drift: 0.01}
+		Watch: tomlfile.Duration(10 * time.Second), MaxFailed: 0.2, MaxSlow: 0.5, LeastJudged: 20, Drift: 0.01}
 	o.Limits.MemoryMB, o.Limits.Sockets = 192, 1024
 	o.Log.Level, o.Log.Format = "info", "auto"
 	return o
--- a/internal/config/show.go
+++ b/internal/config/show.go
@@ -59,6 +59,8 @@
 	file("rollout.zone_out", o.Rollout.ZoneOut)
 	file("rollout.release", o.Rollout.Release)
 	file("rollout.control", o.Rollout.Control)
+	file("rollout.max_failed", o.Rollout.MaxFailed)
+	file("rollout.max_slow", o.Rollout.MaxSlow)
 
 	m, n := c.Module, c.Node
 	set := func(field string, v any) { add("settings."+field, v, c.from["settings"]) }
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -20,6 +20,7 @@
 	NoMemory                                                            atomic.Int64 // flows turned away at the door, as those taken hold too much
 	Late                                                                atomic.Int64 // answers of servers that came after their flow's end
 	Gone                                                                atomic.Int64 // flows whose client left first
+	Slow                                                                atomic.Int64 // flows served after their class's aim
 	classes                                                             []string
 	answers                                                             []string
 	ends                                                                []string
@@ -109,6 +110,7 @@
 	line(&c.NoMemory, "flows_without_memory")
 	line(&c.Late, "answers_late")
 	line(&c.Gone, "flows_client_left")
+	line(&c.Slow, "flows_served_late")
 	for _, m := range c.more {
 		line(m.n, "%s", m.name)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -330,6 +330,9 @@
 		return
 	}
 	n.opt.Count.Answered(s.class, int(r.Kind))
+	if r.Kind == flow.Served && time.Since(s.Taken) > n.opt.Module.Classes[s.class].Aim {
+		n.opt.Count.Slow.Add(1)
+	}
 	s.Reply(r)
 	n.over(s)
 	n.forget(s)
--- a/internal/rollout/agent/agent.go
+++ b/internal/rollout/agent/agent.go
@@ -22,7 +22,7 @@
 	Control string                          // path of the Unix socket for operators; empty for none
 	Send    func(to int, data []byte) error // to one node, by its number
 	Go      func()                          // ends the node; called once, when the fleet lets it go
-	Served  func() (answers, failed int)    // of the node, since its start
+	Served  func() rollout.Served           // of the node, since its start
 	Note    func(kind rollout.NoteKind)     // counts
 	Log     *slog.Logger
 }
@@ -40,7 +40,7 @@
 	start time.Time
 	gone  bool
 
-	answers, failed int // as told to the core
+	told rollout.Served // to the core
 }
 
 // New makes an agent; Run serves it.
@@ -77,10 +77,9 @@
 			f()
 		case <-tick.C:
 			if a.opt.Served != nil {
-				answers, failed := a.opt.Served()
-				if answers > a.answers {
-					a.step(rollout.Served{Answers: answers - a.answers, Failed: failed - a.failed})
-					a.answers, a.failed = answers, failed
+				if s := a.opt.Served(); s.Answers > a.told.Answers {
+					a.step(rollout.Served{Answers: s.Answers - a.told.Answers, Failed: s.Failed - a.told.Failed, Slow: s.Slow - a.told.Slow})
+					a.told = s
 				}
 			}
 			a.step(rollout.Tick{})
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -11,6 +11,7 @@
 	"cmp"
 	"errors"
 	"hash/fnv"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,7 +37,8 @@
 	Drift  float64       // of two clocks against each other, at most
 
 	Release     string  // that this node runs
-	MaxFailed   float64 // share of its answers that may fail while it is watched
+	MaxFailed   float64 // share of its answers that may fail while it is watched, past what fails at the others
+	MaxSlow     float64 // the same of those that come after their class's aim
 	LeastJudged int     // answers from which that is judged
 	Start       uint64  // greater for each start of this node: its own clock's milliseconds will do
 	Seed        uint64
@@ -93,8 +95,8 @@
 	}
 	// Up says that the node serves; it is watched from then on.
 	Up struct{}
-	// Served counts answers of the node, of which some failed, since the last such event.
-	Served struct{ Answers, Failed int }
+	// Served counts answers of the node, of which some failed and others came late, since the last such event.
+	Served struct{ Answers, Failed, Slow int }
 	// Leave asks for this node to go out.
 	Leave struct{}
 	// Going says that the node goes out, whether it may or not: it was told to end.
@@ -179,6 +181,7 @@
 	start uint64
 	count uint32
 	state State
+	well  health
 	done  uint32
 	told  bool // it told its table since this node started
 	knows bool // and granted itself by then, so the table is whole
@@ -198,11 +201,12 @@
 	begun   Time
 	started bool
 
-	state   State
-	upAt    Time
-	up      bool
-	answers int
-	failed  int
+	state State
+	upAt  Time
+	up    bool
+	// Answers of the node, which fade while it is fit: what others are judged by is how it goes now.
+	answers, failed, slow float64
+	servedAt              Time
 
 	peers  []peer
 	grants []grant
@@ -248,6 +252,8 @@
 		return errors.New("drift: must be from 0 to 0.5")
 	case !(c.MaxFailed >= 0 && c.MaxFailed <= 1):
 		return errors.New("max_failed: must be from 0 to 1")
+	case !(c.MaxSlow >= 0 && c.MaxSlow <= 1):
+		return errors.New("max_slow: must be from 0 to 1")
 	}
 	return nil
 }
@@ -289,7 +295,7 @@
 			c.up, c.upAt = true, now
 		}
 	case Served:
-		c.served(e)
+		c.served(now, e)
 	case Leave:
 		c.wants = true
 	case Going:
@@ -345,26 +351,62 @@
 
 func (c *Core) tell(now Time) {
 	c.count++
-	m := beacon{Start: c.cfg.Start, Count: c.count, State: c.state, Learns: c.abstains(now), Done: c.done, Release: c.release, Halt: c.halt, Order: c.order}
+	m := beacon{Start: c.cfg.Start, Count: c.count, State: c.state, Learns: c.abstains(now), Done: c.done, Release: c.release, Halt: c.halt, Order: c.order, Health: c.health()}
 	for _, g := range c.grants {
 		m.Table = append(m.Table, g.entry)
 	}
 	c.do(Send{All, m.encode()})
 }
 
-// served judges a node while it is watched: one that does badly says so, and stops the release.
-func (c *Core) served(e Served) {
-	if c.state != Starting {
+// served judges a node while it is watched: one that does badly, where the others do not, says so and stops the release.
+// What goes badly everywhere is the origin's or the network's doing, and going back would not mend it.
+func (c *Core) served(now Time, e Served) {
+	if c.state == Fit {
+		keep := math.Exp(-float64(now-c.servedAt) / float64(max(c.cfg.Watch, 1)))
+		c.answers, c.failed, c.slow = c.answers*keep, c.failed*keep, c.slow*keep
+	}
+	c.servedAt = now
+	c.answers, c.failed, c.slow = c.answers+float64(e.Answers), c.failed+float64(e.Failed), c.slow+float64(e.Slow)
+	h := c.health()
+	if c.state != Starting || !h.Known {
 		return
 	}
-	c.answers, c.failed = c.answers+e.Answers, c.failed+e.Failed
-	if c.answers >= max(1, c.cfg.LeastJudged) && float64(c.failed) > c.cfg.MaxFailed*float64(c.answers) {
+	failed, slow := c.usual()
+	if share(h.Failed) > c.cfg.MaxFailed+failed || share(h.Slow) > c.cfg.MaxSlow+slow {
 		c.state, c.beacon = Broken, 0
 		c.note(NoteBroken, c.cfg.Self, 0, NodeBroken)
 		c.raise(NodeBroken, c.cfg.Self)
 	}
 }
 
+// health is what this node tells of its answers.
+func (c *Core) health() health {
+	if c.answers < float64(max(1, c.cfg.LeastJudged)) {
+		return health{}
+	}
+	part := func(n float64) byte { return byte(min(255, 255*n/c.answers)) }
+	return health{true, part(c.failed), part(c.slow)}
+}
+
+func share(part byte) float64 { return float64(part) / 255 }
+
+// usual is how it goes at the other nodes that are fit: the median of those that tell, so that a few that lie or do badly
+// themselves move nothing.
+func (c *Core) usual() (failed, slow float64) {
+	var f, s []byte
+	for i, p := range c.peers {
+		if i != c.cfg.Self && p.met && p.state == Fit && p.well.Known {
+			f, s = append(f, p.well.Failed), append(s, p.well.Slow)
+		}
+	}
+	if len(f) == 0 {
+		return 0, 0
+	}
+	slices.Sort(f)
+	slices.Sort(s)
+	return share(f[(len(f)-1)/2]), share(s[(len(s)-1)/2])
+}
+
 // raise halts the release.
 func (c *Core) raise(why Reason, by int) {
 	if c.halt.On {
@@ -550,7 +592,7 @@
 	if m.Start > p.start {
 		p.done = 0
 	}
-	p.met, p.heard, p.start, p.count, p.state = true, now, m.Start, m.Count, m.State
+	p.met, p.heard, p.start, p.count, p.state, p.well = true, now, m.Start, m.Count, m.State, m.Health
 	p.done = max(p.done, m.Done)
 	if m.State == Fit {
 		c.free(from, m.Start, m.Done) // of this process: what is over; of earlier ones: all
--- a/internal/rollout/message.go
+++ b/internal/rollout/message.go
@@ -11,7 +11,7 @@
 // bytes.
 const (
 	Mark    = 'R'
-	version = 1
+	version = 2
 
 	kindBeacon = 1
 	kindAsk    = 2
@@ -33,9 +33,16 @@
 	Release uint32
 	Halt    halt
 	Order   order
+	Health  health
 	Table   []entry // what it has granted
 }
 
+// health is how a node's answers of late went, in parts of 255. Without answers enough to tell it is known to be nothing.
+type health struct {
+	Known        bool
+	Failed, Slow byte
+}
+
 // halt stops grants everywhere, or lets them go on; the greatest epoch holds.
 type halt struct {
 	Epoch  uint16
@@ -76,8 +83,9 @@
 
 const entrySize = 2 + 8 + 4 + 1 + 1 + 2
 
-// Sizes: 3 + 8+4+1+1+4+4 + 2+1+1+2 + 2+4 + 1 + 4 of the sum; the table takes what is left.
-const tableRoom = (maxBytes - 42) / entrySize
+// Sizes: 3 + 8+4+1+1+4+4 + 2+1+1+2 + 2+4 + 3 + 1 + 4 of the sum; the table takes what is left. What a later version says
+// behind the table is skipped: the nodes of two releases must understand each other while one takes the other's place.
+const tableRoom = (maxBytes - 45) / entrySize
 
 func open(kind byte) []byte { return append(make([]byte, 0, maxBytes), Mark, version, kind) }
 
@@ -95,6 +103,7 @@
 	b = binary.BigEndian.AppendUint16(b, m.Halt.By)
 	b = binary.BigEndian.AppendUint16(b, m.Order.Epoch)
 	b = binary.BigEndian.AppendUint32(b, m.Order.Release)
+	b = append(b, bit(m.Health.Known), m.Health.Failed, m.Health.Slow)
 	n := min(len(m.Table), tableRoom)
 	b = append(b, byte(n))
 	for _, e := range m.Table[:n] {
@@ -164,12 +173,14 @@
 	switch body[2] {
 	case kindBeacon:
 		v := beacon{Start: r.u64(), Count: r.u32(), State: State(r.u8()), Learns: r.u8() == 1, Done: r.u32(), Release: r.u32(),
-			Halt:  halt{Epoch: r.u16(), On: r.u8() == 1, Reason: Reason(r.u8()), By: r.u16()},
-			Order: order{Epoch: r.u16(), Release: r.u32()}}
+			Halt:   halt{Epoch: r.u16(), On: r.u8() == 1, Reason: Reason(r.u8()), By: r.u16()},
+			Order:  order{Epoch: r.u16(), Release: r.u32()},
+			Health: health{Known: r.u8() == 1, Failed: r.u8(), Slow: r.u8()}}
 		for range r.u8() {
 			v.Table = append(v.Table, entry{Holder: r.u16(), Start: r.u64(), Ask: r.u32(), Slot: r.u8(), Zone: r.u8(), Name: r.u16()})
 		}
 		r.bad = r.bad || v.State >= states || v.Halt.Reason >= reasons
+		r.b = nil // of a later version
 		m = v
 	case kindAsk:
 		m = ask{Start: r.u64(), Ask: r.u32(), Slot: r.u8(), Zone: r.u8(), Name: r.u16()}
