Hand duties on between real nodes: who probes silent servers, and who calls discovery, for all

One node may do both for all; nothing handed it on.

Change: internal/lease/agent runs the core in a node, internal/control takes operators' calls for it and for rollouts (ctl duties), duties.hold of an operator's file switches them on. The module takes Holder and Word and gives Spread: with the prober's duty elsewhere a node leaves a silent server alone 16 times as long; with the caller's duty elsewhere it waits for the word, or as long as its list is good for. When to call moved from the module into internal/asking, a core with its own table; without a duty it draws and waits as before. The list of peers moves by SIGHUP, one node at a time (peers.Move); nodes with another list do not count. Also: internal/ejection bounds what a node takes out by its own judgment (rollout.servers_out): drains, silent and cold servers count, the worst of the others go first, and past it no server goes on a word alone. All of it is off in run.

Cause found on the way: a stalled holder that woke asked under a token of its own before it heard its successor, and took that successor's lesser token for old as long as it held (decide and heardHolder shared one greatest token). What was promised and what was held are now apart. Answers to an ask sent again count together, so a lossy link costs no round.

Tests: TestDutyIsHandedOn, TestHalvesHaveNoHolder, TestPeersMoveByReload (processes), TestOneProbesForAll, TestOneCallsForAll, TestBadServersKeepTheirKeysPastTheBudget, tables of asking and ejection, TestGrantKeepsTheBudget (rapid).

--- a/brain/api.go
+++ b/brain/api.go
@@ -6,7 +6,11 @@
 // A Router is not safe for concurrent use.
 package brain
 
-import "time"
+import (
+	"time"
+
+	"shelfproxy/internal/asking"
+)
 
 // Time is a point on the caller's clock, counted from any fixed origin. It only moves forward.
 type Time = time.Duration
@@ -74,6 +78,10 @@
 	// crossing zones has a price: zones.DefaultLeave, if nothing else is wanted, up to 1.
 	LeaveOwner float64
 
+	// ServersOut is the share of the cache servers that may be out at once before bad ones keep their keys: those that
+	// drain, are silent or cold count, and what others give up by judgment. 0 is no bound.
+	ServersOut float64
+
 	MaxAttempts   int           // attempts a request may have
 	MaxRetryAfter time.Duration // longest advice that clients follow; 0 where none may be given
 	Tick          time.Duration // shortest gap between two calls with different times
@@ -187,6 +195,38 @@
 	Data []byte
 }
 
+// Duty is something that one router may do for all, where the program around them agrees on who does.
+type Duty int
+
+// The duties.
+const (
+	Prober    Duty = iota // asks servers that are believed silent whether they are there again
+	Caller                // calls for the list while that does not answer
+	dutyCount             // no duty
+)
+
+// DutyNames are what operators call the duties, in their order.
+var DutyNames = [dutyCount]string{"prober", "caller"}
+
+// Who has a duty.
+type Who = asking.Who
+
+// The answers to that. Where nobody has it, each router does as if there were no duty.
+const (
+	Nobody  = asking.Nobody
+	Self    = asking.Self
+	Another = asking.Another
+)
+
+// Holder says who has a duty from now on, as far as is known.
+type Holder struct {
+	Duty Duty
+	Who  Who
+}
+
+// Word brings what the holder of a duty told all routers with Spread: the Caller, that the list answers again.
+type Word struct{ Duty Duty }
+
 // Timer says that a SetTimer has come due.
 type Timer struct{ Token uint64 }
 
@@ -199,6 +239,8 @@
 func (Timer) event()     {}
 func (Strain) event()    {}
 func (Heard) event()     {}
+func (Holder) event()    {}
+func (Word) event()      {}
 
 // Action is something the router wants done: one of the types below it.
 type Action interface{ action() }
@@ -242,6 +284,9 @@
 // Tell sends at most 256 bytes to all other routers, which may or may not arrive.
 type Tell struct{ Data []byte }
 
+// Spread tells all other routers what the holder of a duty has to say, which may or may not arrive.
+type Spread struct{ Duty Duty }
+
 // Log is a line for the operators.
 type Log struct{ Text string }
 
@@ -254,4 +299,5 @@
 func (SetTimer) action()  {}
 func (Subscribe) action() {}
 func (Tell) action()      {}
+func (Spread) action()    {}
 func (Log) action()       {}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -47,7 +47,7 @@
 	cutOff      = 4                       // connects that fail in a row before a zone counts as out of reach
 	pace        = 10 * time.Millisecond   // between two routers' probes of a server believed silent
 	paceTold    = 50 * time.Millisecond   // the same where the one that finds it back tells the others
-	askEvery    = time.Second             // first wait before asking the list or a silent server again
+	askEvery    = time.Second             // first wait before asking a silent server again
 	housekeep   = uint64(1) << 62         // timer tokens from here on are not request ids
 	upkeepEvery = 250 * time.Millisecond
 )
@@ -157,6 +157,7 @@
 
 func (r *Router) judge(s *server) {
 	s.opinion.Judge(s.gauge.slowPart(r.now), r.pool.slowPart(r.now))
+	r.bound()
 }
 
 // hear takes what another router met as if this one had met it: alone it meets most servers too seldom.
@@ -178,7 +179,7 @@
 		case n.Answered && s.silent && r.now-s.since > askEvery || !s.silent && n.Seen > n.Bad:
 			r.alive(s)
 		case n.Silent && !s.silent && heard > askEvery/2 &&
-			s.opinion.Witness(r.now, e.From, s.doubted > s.heard):
+			s.opinion.Witness(r.now, e.From, s.doubted > s.heard) && (s.doubted > s.heard || !r.over()):
 			r.silence(s)
 		}
 	}
@@ -634,7 +635,7 @@
 		r.moveOn(s)
 		patience := max(r.pool.max, upkeepEvery)
 		quiet := r.now - max(s.gauge.oldest(r.now), s.heard)
-		if s.silent && r.now-s.probeAt > max(askEvery, r.pace*time.Duration(r.set.Routers)) ||
+		if s.silent && r.now-s.probeAt > r.again() ||
 			!s.silent && quiet > patience && r.now-s.probeAt > patience {
 			r.probe(s)
 		}
@@ -644,25 +645,24 @@
 			Near: r.home.slowPart(r.now), All: r.pool.slowPart(r.now), Waiting: r.line.Len()})
 	}
 	r.tell()
-	if r.set.MustAsk && r.asking && r.now >= r.askAt {
+	if r.set.MustAsk && r.calls.Due(r.now) {
 		r.act(Subscribe{})
-		r.askAt = r.now + 10*askEvery // a call that is never answered is made again
 	}
 }
 
 // list follows the server list. A failed call is made again after growing waits; the last list serves then.
 func (r *Router) list(e List) {
 	if !r.ticking {
-		r.ticking, r.asking, r.askAt = true, true, r.now+r.jitter(r.spread())
+		r.ticking = true
+		r.calls.Start(r.now)
 		r.act(SetTimer{At: r.now + r.jitter(upkeepEvery), Token: housekeep})
 	}
 	switch e.Scope {
 	case Failed:
-		r.asking = true
-		r.askAt, r.askWait = r.now+r.jitter(r.askWait), min(2*r.askWait, 16*askEvery)
+		r.calls.Failed(r.now)
 		return
 	case Changes, Full:
-		r.asking, r.askWait = false, r.askFirst()
+		r.calls.Listed()
 	}
 	for _, s := range r.servers {
 		s.listed = s.listed && e.Scope == Changes
--- a/brain/router.go
+++ b/brain/router.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"shelfproxy/internal/admission"
+	"shelfproxy/internal/asking"
+	"shelfproxy/internal/ejection"
 	"shelfproxy/internal/gossip"
 	"shelfproxy/internal/health"
 	"shelfproxy/internal/tally"
@@ -133,15 +135,18 @@
 	talk      gossip.Talk   // with the other routers
 	pace      time.Duration // between two routers' probes of a server believed silent
 	sweepAt   Time          // when counts are scaled back next
-	asking    bool
+	calls     asking.Calls  // for the list
+	who       [dutyCount]Who
 	ticking   bool
 	home      gauge   // of the cache servers of the own zone
 	homePart  float64 // their share of all servers' weights
 	reach     zones.Reach
 	gate      admission.Concurrency    // how much may be out at the origin
 	line      admission.Line[*request] // what waits for it
-	askWait   time.Duration
-	askAt     Time
+	eject     ejection.Budget          // of cache servers that are left out, or lose keys, by this router's judgment
+	wants     []ejection.Server        // reused
+	granted   []float64                // reused
+	short     bool                     // it was not enough of late
 }
 
 // gateMost is what may be out at the origin before anything is known of it.
@@ -185,7 +190,8 @@
 	r.pool.objectives = r.objectives()
 	r.pool.floor = time.Duration(float64(r.pool.limit) * poolFloor)
 	r.home.objectives, r.home.pool = r.pool.objectives, &r.pool
-	r.askWait = r.askFirst()
+	r.eject.Share = set.ServersOut
+	r.calls = asking.Calls{Spread: r.spread(), Within: set.MustAskIn, Jitter: r.jitter}
 	if r.pace = pace; set.Peers {
 		r.pace = paceTold
 	}
@@ -230,6 +236,10 @@
 		r.hear(e)
 	case Strain:
 		r.strain = e.Level
+	case Holder:
+		r.hold(e)
+	case Word:
+		r.calls.Told(r.now) // the only duty that has something to say
 	case Timer:
 		if e.Token == housekeep {
 			r.upkeep()
@@ -237,6 +247,9 @@
 			r.unpark(q)
 		}
 	}
+	if r.calls.Tell() {
+		r.act(Spread{Caller})
+	}
 	r.release()
 	return r.acts
 }
@@ -291,8 +304,74 @@
 	return min(listPace*time.Duration(r.set.Routers), (told+r.set.DrainGrace-listCall)/2)
 }
 
-// askFirst is the time over which a call that failed is made again, the first time.
-func (r *Router) askFirst() time.Duration { return max(askEvery, r.spread()) }
+// hold takes it who has a duty from now on.
+func (r *Router) hold(e Holder) {
+	switch r.who[e.Duty] = e.Who; e.Duty {
+	case Caller:
+		r.calls.Held(r.now, e.Who)
+	case Prober:
+		r.talk.Prompt = e.Who == Self
+	}
+}
+
+// away is how many times as long a router leaves a silent server alone whose probes are another one's duty. Whoever finds
+// it back tells all, so that one that the holder alone can't reach is found within away times the pace of the whole fleet.
+const away = 16
+
+// again is how long this router leaves a silent server alone between two probes. The pace is that of all routers together;
+// whose duty it is probes for all of them and tells at once.
+func (r *Router) again() time.Duration {
+	usual := max(askEvery, r.pace*time.Duration(r.set.Routers))
+	switch r.who[Prober] {
+	case Self:
+		return upkeepEvery / 2 // at each look
+	case Another:
+		return away * usual
+	}
+	return usual
+}
+
+// standing is what the cache servers are to the budget of ejections.
+func (r *Router) standing() []ejection.Server {
+	r.wants = r.wants[:0]
+	for _, s := range r.servers {
+		if s == r.origin || !s.listed || r.set.OriginKind != "" && s.Kind == r.set.OriginKind {
+			continue
+		}
+		e := ejection.Server{Size: r.size(s), Out: 1 - r.warmth(s), Wants: s.opinion.Wants(), Order: s.hash}
+		if s.silent || s.State != Live {
+			e.Out = 1
+		}
+		r.wants = append(r.wants, e)
+	}
+	return r.wants
+}
+
+// over tells whether so many cache servers are out that none goes on another router's word alone.
+func (r *Router) over() bool { return r.eject.On() && r.eject.Over(r.standing()) }
+
+// bound keeps what cache servers give up within the budget, where there is one.
+func (r *Router) bound() {
+	if !r.eject.On() {
+		return
+	}
+	all := r.standing()
+	r.granted = slices.Grow(r.granted[:0], len(all))[:len(all)]
+	short, i := r.eject.Grant(all, r.granted), 0
+	for _, s := range r.servers {
+		if i < len(all) && all[i].Order == s.hash {
+			s.opinion.Bound(r.granted[i])
+			i++
+		}
+	}
+	if short != r.short {
+		if r.short = short; short {
+			r.logf("too many cache servers are out: bad ones keep their keys")
+		} else {
+			r.logf("no more cache servers are out than may be")
+		}
+	}
+}
 
 // add takes timings that another router told of.
 func (g *gauge) add(now Time, n, bad float64) {
--- a/brain/settings.go
+++ b/brain/settings.go
@@ -28,6 +28,8 @@
 		return errors.New("brain: Settings.ConnectionPrice, HandshakePrice or CrossPrice is negative")
 	case !(set.LeaveOwner >= 0 && set.LeaveOwner <= 1):
 		return errors.New("brain: Settings.LeaveOwner must be from 0 to 1")
+	case !(set.ServersOut >= 0 && set.ServersOut <= 1):
+		return errors.New("brain: Settings.ServersOut must be from 0 to 1")
 	case len(set.Classes) == 0:
 		return errors.New("brain: Settings.Classes is empty")
 	}
--- a/cmd/shelfproxy/ctl.go
+++ b/cmd/shelfproxy/ctl.go
@@ -23,7 +23,7 @@
 // ctl is the verb for the operators of a running node.
 func ctl(load func() (*config.Config, error)) *cobra.Command {
 	var path string
-	c := &cobra.Command{Use: "ctl", Short: "Look at and steer who of the fleet is out of service"}
+	c := &cobra.Command{Use: "ctl", Short: "Look at and steer what the nodes of a fleet agree on"}
 	c.PersistentFlags().StringVar(&path, "control", "", "the node's socket (rollout.control of the operator's file)")
 	verb := func(use, short, method, call string, args cobra.PositionalArgs, query func([]string) url.Values) {
 		c.AddCommand(&cobra.Command{Use: use, Short: short, Args: args, RunE: func(cmd *cobra.Command, words []string) error {
@@ -44,6 +44,7 @@
 	}
 	none := func([]string) url.Values { return nil }
 	verb("status", "Say who is out, and why nothing goes on where it does not", http.MethodGet, "/status", cobra.NoArgs, none)
+	verb("duties", "Say who does what for all, since when and under which token", http.MethodGet, "/duties", cobra.NoArgs, none)
 	verb("drain", "Have this node go out when the fleet lets it", http.MethodPost, "/drain", cobra.NoArgs, none)
 	verb("halt", "Let no further node go out", http.MethodPost, "/halt", cobra.NoArgs, none)
 	verb("resume", "Let nodes go out again after a halt", http.MethodPost, "/resume", cobra.NoArgs, none)
--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -13,17 +13,22 @@
 	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"shelfproxy/brain"
 	"shelfproxy/internal/admission"
 	"shelfproxy/internal/config"
+	"shelfproxy/internal/control"
 	"shelfproxy/internal/counters"
 	"shelfproxy/internal/discovery"
 	"shelfproxy/internal/flow"
 	"shelfproxy/internal/forward"
+	"shelfproxy/internal/lease"
+	dutyAgent "shelfproxy/internal/lease/agent"
 	"shelfproxy/internal/listener"
 	"shelfproxy/internal/logs"
 	"shelfproxy/internal/node"
@@ -50,7 +55,9 @@
 	node  *node.Node
 	front *listener.Listener
 
-	agent            *agent.Agent // nil where nodes go when they are told
+	agent            *agent.Agent     // nil where nodes go when they are told
+	duties           *dutyAgent.Agent // nil where each node does for itself
+	socket           *peers.Socket    // nil where nodes may not talk to each other
 	leave            chan struct{}
 	memory           admission.Memory
 	pressure         float64 // as the node was told
@@ -75,9 +82,12 @@
 	go d.front.Serve()
 	if d.agent != nil {
 		go d.agent.Run(ended)
-		go d.serveControl(ended)
 		d.agent.Post(rollout.Up{})
 	}
+	if d.duties != nil {
+		go d.duties.Run(ended)
+	}
+	go d.serveControl(ended)
 	d.log.Info("the node is up", logs.Event, "started", "name", cfg.Name, "listen", cfg.Listen)
 
 	begun := time.Now()
@@ -96,9 +106,11 @@
 		case <-d.leave:
 			if over == nil {
 				d.log.Info("the node goes out by agreement of the fleet", logs.Event, "rollout_leaves")
+				d.resign()
 				over = d.shutDown()
 			}
 		case <-term:
+			d.resign()
 			if d.agent != nil {
 				d.agent.Post(rollout.Going{})
 			}
@@ -167,7 +179,13 @@
 	if module.Peers = socket != nil; module.Peers {
 		tell = socket.Tell
 	}
-	n, err := node.New(node.Options{Tell: tell, Module: module, Seed: cfg.Seed, MaxOpen: cfg.Node.MaxOpen, MaxHeld: cfg.MemoryMB << 20 / heldShare, MaxWait: cfg.Node.LongestWait,
+	var duties *dutyAgent.Agent
+	spread := func(duty brain.Duty) {
+		if duties != nil {
+			duties.Say(brain.DutyNames[duty])
+		}
+	}
+	n, err := node.New(node.Options{Tell: tell, Spread: spread, Module: module, Seed: cfg.Seed, MaxOpen: cfg.Node.MaxOpen, MaxHeld: cfg.MemoryMB << 20 / heldShare, MaxWait: cfg.Node.LongestWait,
 		Known: cfg.Known, Source: &discovery.Client{Addr: cfg.Discovery}, Count: count, Log: logs.Component(log, "node"),
 		Upstream: func(s discovery.Server, isOrigin bool, report func(*forward.Forward, forward.Answer)) node.Upstream {
 			if isOrigin {
@@ -179,24 +197,33 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	heard := n.Heard
 	leave := make(chan struct{}, 1)
 	var agreement *agent.Agent
 	if socket != nil && op.Rollout.NodesOut > 0 {
 		if agreement, err = newAgent(cfg, socket, count, leave, logs.Component(log, "rollout")); err != nil {
 			return nil, fmt.Errorf("rollout: %w", err)
 		}
-		heard = func(from int, data []byte) {
-			if len(data) > 0 && data[0] == rollout.Mark {
-				agreement.Heard(from, data)
-			} else {
-				n.Heard(from, data)
-			}
-		}
 	} else if op.Rollout.NodesOut > 0 {
 		logs.Component(log, "rollout").Warn("nodes may not send each other messages here: each goes when it is told", logs.Event, "rollout_off")
 	}
+	if socket != nil && len(op.Duties.Hold) > 0 {
+		if duties, err = newDuties(cfg, socket, n, count, logs.Component(log, "duties")); err != nil {
+			return nil, fmt.Errorf("duties: %w", err)
+		}
+	} else if len(op.Duties.Hold) > 0 {
+		logs.Component(log, "duties").Warn("nodes may not send each other messages here: each does for itself", logs.Event, "duties_off")
+	}
 	if socket != nil {
+		heard := func(from int, data []byte) {
+			switch {
+			case agreement != nil && len(data) > 0 && data[0] == rollout.Mark:
+				agreement.Heard(from, data)
+			case duties != nil && len(data) > 0 && data[0] == lease.Mark:
+				duties.Heard(from, data)
+			default:
+				n.Heard(from, data)
+			}
+		}
 		go listenToPeers(socket, heard, count, logs.Component(log, "peers"))
 	}
 	ln, err := bind(log, cfg.Listen, func() (net.Listener, error) { return net.Listen("tcp", cfg.Listen) })
@@ -206,7 +233,7 @@
 	front := listener.New(ln, n, classes, tenants, listener.Limits{Conns: start[admission.Clients],
 		Pipelined: min(op.Listener.Pipelined, max(leastPipelined, cfg.MemoryMB/pipelinedMB)), Value: 64 << 10, Write: op.Listener.Write.D(), Silent: op.Listener.Silent.D(),
 		Crowd: op.Listener.IdleCrowded.D(), Idle: op.Listener.Idle.D(), Owed: cfg.MemoryMB << 20 / 6}, count)
-	return &daemon{agent: agreement, leave: leave, memory: admission.Memory{Limit: int64(cfg.MemoryMB) << 20}, cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front,
+	return &daemon{agent: agreement, duties: duties, socket: socket, leave: leave, memory: admission.Memory{Limit: int64(cfg.MemoryMB) << 20}, cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front,
 		split: admission.NewSplit(split), targets: targets, origins: origins}, nil
 }
 
@@ -248,7 +275,7 @@
 	}
 	r := cfg.Operator.Rollout
 	core := r.Core(cfg.Peers.Self(), len(cfg.Peers.Peers), cfg.Module.Zone, uint64(time.Now().UnixMilli()), cfg.Seed)
-	return agent.New(agent.Options{Core: core, Control: r.Control, Send: socket.TellTo, Log: log,
+	return agent.New(agent.Options{Core: core, Send: socket.TellTo, Log: log,
 		Go: func() { leave <- struct{}{} },
 		Served: func() rollout.Served {
 			answers, failed := count.Total(int(flow.Failed))
@@ -257,9 +284,46 @@
 		Note: func(kind rollout.NoteKind) { counts[kind].Add(1) }})
 }
 
+// newDuties makes this node's part in the agreement on duties.
+func newDuties(cfg *config.Config, socket *peers.Socket, n *node.Node, count *counters.Counters, log *slog.Logger) (*dutyAgent.Agent, error) {
+	counts := make([]*atomic.Int64, lease.Notes)
+	for kind := range lease.Notes {
+		counts[kind] = count.More("duty_" + kind.String())
+	}
+	number := func(name string) brain.Duty { return brain.Duty(slices.Index(brain.DutyNames[:], name)) }
+	core := cfg.Operator.Duties.Core(cfg.Peers.Self(), len(cfg.Peers.Peers), uint64(time.Now().UnixMilli()), cfg.Seed)
+	return dutyAgent.New(dutyAgent.Options{Core: core, Send: socket.TellTo, Log: log,
+		Holder: func(duty string, node int) {
+			who := brain.Another
+			switch node {
+			case lease.None:
+				who = brain.Nobody
+			case lease.Mine:
+				who = brain.Self
+			}
+			n.Duty(brain.Holder{Duty: number(duty), Who: who})
+		},
+		Said: func(duty string) { n.Duty(brain.Word{Duty: number(duty)}) },
+		Note: func(kind lease.NoteKind) { counts[kind].Add(1) }})
+}
+
+// resign gives the duties of this node to the others at once.
+func (d *daemon) resign() {
+	if d.duties != nil {
+		d.duties.Resign()
+	}
+}
+
 // serveControl takes operators' calls. Without it the node serves on, as operators have signals too.
 func (d *daemon) serveControl(stop <-chan struct{}) {
-	if err := d.agent.Serve(stop); err != nil {
+	s := control.New(d.cfg.Operator.Rollout.Control)
+	if d.agent != nil {
+		d.agent.Register(s)
+	}
+	if d.duties != nil {
+		d.duties.Register(s)
+	}
+	if err := s.Serve(stop); err != nil {
 		d.log.Error("operators' calls are not taken", logs.Event, "control_failed", "error", err.Error())
 	}
 }
@@ -356,6 +420,7 @@
 		kept.Operator = &op
 		d.cfg = &kept
 	}
+	d.movePeers(cfg)
 	if d.cfg.Discovery != cfg.Discovery {
 		d.log.Info("reload: discovery moves", logs.Event, "discovery_moved", "from", d.cfg.Discovery, "to", cfg.Discovery)
 		d.node.Follow(&discovery.Client{Addr: cfg.Discovery})
@@ -365,6 +430,41 @@
 	}
 }
 
+// movePeers takes over another list of peers, where that is safe: duties are handed on between majorities of the list
+// before and the list after, so these may differ by one node.
+func (d *daemon) movePeers(cfg *config.Config) {
+	changed := d.cfg.Peers.Changed(cfg.Peers)
+	if changed == 0 && d.cfg.Operator.Duties.List == cfg.Operator.Duties.List || d.socket == nil {
+		return
+	}
+	refused := ""
+	switch {
+	case d.agent != nil:
+		refused = "an agreement on who is out runs among the nodes of the start"
+	case d.duties != nil && changed > 1:
+		refused = "more than one node was added or taken away"
+	case d.duties != nil && cfg.Peers.Self() < 0:
+		refused = "this node is not among them"
+	}
+	if refused == "" {
+		if err := d.socket.Move(cfg.Peers); err != nil {
+			refused = err.Error()
+		}
+	}
+	if refused != "" {
+		d.log.Warn("reload: the nodes stay those of before", logs.Event, "reload_waits", "field", "peers", "reason", refused)
+		return
+	}
+	d.log.Info("reload: the list of peers changes", logs.Event, "peers_moved", "nodes", len(cfg.Peers.Peers), "changed", changed)
+	if d.duties != nil {
+		d.duties.Move(lease.Peers{Self: cfg.Peers.Self(), Nodes: len(cfg.Peers.Peers), Fleet: cfg.Operator.Duties.Fleet(len(cfg.Peers.Peers))})
+	}
+	kept, op := *d.cfg, *d.cfg.Operator
+	kept.Peers, op.Duties.List = cfg.Peers, cfg.Operator.Duties.List
+	kept.Operator = &op
+	d.cfg = &kept
+}
+
 // shutDown ends the service after a moment of grace, as clients go on for a moment after SIGTERM. The channel is
 // closed when all that is owed is answered, or when there is no more time for it.
 func (d *daemon) shutDown() <-chan struct{} {
--- /dev/null
+++ b/internal/asking/asking.go
@@ -0,0 +1,102 @@
+// Package asking decides when a node calls discovery for the list of servers, so that many nodes together leave it room to
+// answer. It has no clock and no I/O; that a call is due is the module's affair to carry out.
+package asking
+
+import "time"
+
+// Time is a point on the caller's clock.
+type Time = time.Duration
+
+// Who has the duty to call while discovery does not answer.
+type Who int
+
+// The answers.
+const (
+	Nobody  Who = iota // each node calls for itself
+	Self               // this node calls for all
+	Another            // another node does
+)
+
+const (
+	every   = time.Second // of the node that calls for all, and the least that a first wait can be
+	longest = 16 * every  // that a wait grows to
+	unheard = 10 * every  // a call that is never answered is made again after this
+)
+
+// Calls is when one node calls. Waits are of full jitter: Jitter draws any moment up to a wait.
+type Calls struct {
+	Spread time.Duration // over which all nodes spread their calls when something told them all
+	Within time.Duration // a node that did not call for so long may not use its list; 0 is for ever
+	Jitter func(time.Duration) time.Duration
+
+	asking bool
+	at     Time
+	wait   time.Duration // after the next failure; 0 is the first
+	who    Who
+	missed bool // a call failed since the last list
+	news   bool // that discovery answers again
+}
+
+// First is the wait after the first failure.
+func (c *Calls) First() time.Duration { return max(every, c.Spread) }
+
+// Start plans the first call.
+func (c *Calls) Start(now Time) { c.asking, c.at = true, now+c.Jitter(c.Spread) }
+
+// Held takes it who has the duty from now on. Where nobody has it any longer, or this node, it need not wait for another's
+// word.
+func (c *Calls) Held(now Time, who Who) {
+	if c.asking && c.missed && who != Another && c.who == Another {
+		c.at = min(c.at, now+c.Jitter(c.First()))
+	}
+	c.who = who
+}
+
+// Failed plans the next call after one that did not succeed, or a watch that broke.
+func (c *Calls) Failed(now Time) {
+	if c.wait == 0 {
+		c.wait = c.First()
+	}
+	wait := c.Jitter(c.wait)
+	// Whose duty it is calls steadily, and its word brings all others; these call by themselves only in case that is lost.
+	switch most := longest; {
+	case c.who == Self:
+		wait = every
+	case c.who == Another && c.missed:
+		if c.Within > 0 {
+			most = max(every, min(most, c.Within))
+		}
+		wait = most/2 + c.Jitter(most/2)
+	}
+	c.asking, c.missed = true, true
+	c.at, c.wait = now+wait, min(2*c.wait, longest)
+}
+
+// Listed takes it that discovery answered.
+func (c *Calls) Listed() {
+	c.news = c.who == Self && c.missed
+	c.asking, c.missed, c.wait = false, false, 0
+}
+
+// Tell tells, once, that all others should hear that discovery answers again.
+func (c *Calls) Tell() bool {
+	news := c.news
+	c.news = false
+	return news
+}
+
+// Told takes the word that discovery answers again.
+func (c *Calls) Told(now Time) {
+	if c.asking && c.missed {
+		c.at = min(c.at, now+c.Jitter(c.Spread))
+	}
+}
+
+// Due tells whether to call now, and notes that it is done.
+func (c *Calls) Due(now Time) bool {
+	if !c.asking || now < c.at {
+		return false
+	}
+	c.at = now + unheard
+	return true
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,6 +43,7 @@
 	for i, s := range mine {
 		switch {
 		case s.Field == "discovery" || s.Field == "seed" || s.Field == "known":
+		case s.Field == "peers" || s.Field == "duties.list": // they move where the program around can
 		case s.Field == "rollout.nodes_out" || s.Field == "rollout.zone_out": // these move, too
 		case i >= len(theirs) || theirs[i].Field != s.Field:
 			return append(fields, "settings") // other classes
@@ -102,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.Module.LeaveOwner = op.Zones.Leave
+	c.Module.LeaveOwner, c.Module.ServersOut = op.Zones.Leave, op.Rollout.ServersOut
 	if c.Tells() {
 		if err := c.Peers.Check(); err != nil {
 			return nil, err
@@ -111,6 +112,9 @@
 	if op.Rollout.NodesOut > 0 && c.Tells() && c.Peers.Self() < 0 {
 		return nil, fmt.Errorf("peer_listen: %q is not among the peers, and rollout.nodes_out wants an agreement with them", c.Peers.Listen)
 	}
+	if len(op.Duties.Hold) > 0 && c.Tells() && c.Peers.Self() < 0 {
+		return nil, fmt.Errorf("peer_listen: %q is not among the peers, and duties.hold wants an agreement with them", c.Peers.Listen)
+	}
 	if c.seed == "" && v == nil {
 		// Nodes with the same random numbers would all do the same thing at the same moment.
 		c.Seed, c.from["seed"] = rand.Uint64(), "drawn at the start"
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shelfproxy/brain"
+	"shelfproxy/internal/lease"
 	"shelfproxy/internal/logs"
 	"shelfproxy/internal/rollout"
 	"shelfproxy/internal/tomlfile"
@@ -38,6 +39,7 @@
 	Shutdown Shutdown `toml:"shutdown"`
 	Zones    Zones    `toml:"zones"`
 	Rollout  Rollout  `toml:"rollout"`
+	Duties   Duties   `toml:"duties"`
 	Service  *Service `toml:"service"` // in place of LB_CONFIG's settings
 
 	file *tomlfile.File
@@ -76,6 +78,7 @@
 // send each other messages.
 type Rollout struct {
 	NodesOut    int               `toml:"nodes_out"`    // at once; 0: each node goes when it is told
+	ServersOut  float64           `toml:"servers_out"`  // share of the cache servers out at once past which bad ones keep their keys; 0: no bound
 	ZoneOut     int               `toml:"zone_out"`     // of one zone; 0: no bound of its own
 	Release     string            `toml:"release"`      // that this node runs
 	Control     string            `toml:"control"`      // path of the Unix socket for shelfproxy ctl
@@ -98,6 +101,22 @@
 		Release: r.Release, MaxFailed: r.MaxFailed, MaxSlow: r.MaxSlow, LeastJudged: r.LeastJudged, Start: start, Seed: seed}
 }
 
+// Duties are those that one node holds for all. They take effect where nodes may send each other messages.
+type Duties struct {
+	Hold  []string          `toml:"hold"`  // of prober and caller; none: each node does for itself
+	Lease tomlfile.Duration `toml:"lease"` // a holder that is not heard for so long has a successor
+	Drift float64           `toml:"drift"` // of two nodes' clocks against each other, at most
+	List  string            `toml:"list"`  // a name for the list of peers, the same at all nodes, another with each change
+}
+
+// Core is what the core of duties is told, as node self of so many.
+func (d Duties) Core(self, nodes int, epoch, seed uint64) lease.Config {
+	return lease.Config{Self: self, Nodes: nodes, Fleet: d.Fleet(nodes), Duties: d.Hold, Lease: d.Lease.D(), Drift: d.Drift, Epoch: epoch, Seed: seed}
+}
+
+// Fleet is the number of a list of peers. Their addresses are not in it: each node may know the others under its own.
+func (d Duties) Fleet(nodes int) uint32 { return lease.Name(fmt.Sprintf("%d/%s", nodes, d.List)) }
+
 // Service is what the nodes of a deployment have in common.
 type Service struct {
 	Nodes          int               `toml:"nodes"` // that share the traffic
@@ -148,6 +167,7 @@
 	o.Rollout = Rollout{Beacon: tomlfile.Duration(500 * time.Millisecond), Silent: tomlfile.Duration(3 * time.Second),
 		Lease: tomlfile.Duration(5 * time.Second), Return: tomlfile.Duration(time.Minute), Lost: tomlfile.Duration(10 * time.Minute),
 		Watch: tomlfile.Duration(10 * time.Second), MaxFailed: 0.2, MaxSlow: 0.5, LeastJudged: 20, Drift: 0.01}
+	o.Duties = Duties{Lease: tomlfile.Duration(3 * time.Second), Drift: 0.01}
 	o.Limits.MemoryMB, o.Limits.Sockets = 192, 1024
 	o.Log.Level, o.Log.Format = "info", "auto"
 	return o
@@ -196,6 +216,7 @@
 		{field: "pools.target_share", v: p.TargetShare, least: 0.05, most: 0.8},
 		{field: "pools.origin_share", v: p.OriginShare, least: 0.02, most: 0.5},
 		{field: "pools.connections", v: float64(p.Connections), least: 1, most: 4096},
+		{field: "rollout.servers_out", v: o.Rollout.ServersOut, least: 0, most: 1},
 		{field: "zones.leave_owner", v: o.Zones.Leave, least: 0, most: 1},
 		{field: "pools.waiting", v: float64(p.Waiting), least: 1, most: 65536},
 	} {
@@ -227,6 +248,16 @@
 			return o.file.Errorf("rollout", "%v", err)
 		}
 	}
+	for _, name := range o.Duties.Hold {
+		if !slices.Contains(brain.DutyNames[:], name) {
+			return o.file.Errorf("duties.hold", "%q is none of %s", name, strings.Join(brain.DutyNames[:], ", "))
+		}
+	}
+	if len(o.Duties.Hold) > 0 {
+		if err := o.Duties.Core(0, 1, 0, 0).Validate(); err != nil {
+			return o.file.Errorf("duties", "%v", err)
+		}
+	}
 	if s.Last < s.Grace {
 		return o.file.Errorf("shutdown.last", "%s is before the end of shutdown.grace, %s", s.Last, s.Grace)
 	}
--- a/internal/config/show.go
+++ b/internal/config/show.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 
 	"shelfproxy/brain"
 )
@@ -30,6 +31,7 @@
 	own("limits.cores", c.Cores)
 	own("limits.memory_mb", c.MemoryMB)
 	own("limits.sockets", c.Sockets)
+	own("peers", strings.Join(c.Peers.Peers, " "))
 	own("known", fmt.Sprintf("%d servers at version %d", len(c.Known.Servers), c.Known.Version))
 
 	o := c.Operator
@@ -57,10 +59,15 @@
 	file("zones.leave_owner", o.Zones.Leave)
 	file("rollout.nodes_out", o.Rollout.NodesOut)
 	file("rollout.zone_out", o.Rollout.ZoneOut)
+	file("rollout.servers_out", o.Rollout.ServersOut)
 	file("rollout.release", o.Rollout.Release)
 	file("rollout.control", o.Rollout.Control)
 	file("rollout.max_failed", o.Rollout.MaxFailed)
 	file("rollout.max_slow", o.Rollout.MaxSlow)
+	file("duties.hold", strings.Join(o.Duties.Hold, " "))
+	file("duties.lease", o.Duties.Lease)
+	file("duties.drift", o.Duties.Drift)
+	file("duties.list", o.Duties.List)
 
 	m, n := c.Module, c.Node
 	set := func(field string, v any) { add("settings."+field, v, c.from["settings"]) }
--- a/internal/gossip/opinion.go
+++ b/internal/gossip/opinion.go
@@ -23,6 +23,7 @@
 	Mark Mark
 	Keep float64 // share of its slots that the server keeps: 1 unless it is an outlier
 
+	least  float64 // below which Keep may not be, for a fleet of which too much is out
 	excess float64 // utilisation over that of all servers
 	toldAt Time    // when another node last told that it is silent
 	toldBy int     // that node
@@ -35,7 +36,16 @@
 // fails far more often than the others do: what is bad everywhere is a crowd and no one server's fault.
 func (o *Opinion) Judge(bad, all float64) {
 	o.excess = bad - all
-	o.Keep = max(keepLeast, min(1, 2-o.excess/outlier))
+	o.Keep = max(o.least, 1-o.Wants())
+}
+
+// Wants is the part of its slots that the server would give up by how it does.
+func (o *Opinion) Wants() float64 { return 1 - max(keepLeast, min(1, 2-o.excess/outlier)) }
+
+// Bound lets it give up no more than so much of its slots, from now on.
+func (o *Opinion) Bound(most float64) {
+	o.least = 1 - most
+	o.Keep = max(o.least, 1-o.Wants())
 }
 
 // Witness takes it that another node believes the server silent, and tells whether to believe it: where this node's
@@ -49,13 +59,14 @@
 // Talk decides what a node tells the others, and when.
 type Talk struct {
 	Ledger
-	Mute  bool // messages are not allowed: nothing is told
-	Nodes int  // of the fleet
-	at    Time
-	last  Time       // when something was told
-	now   bool       // something is worth telling before its time
-	own   [near]Mark // keys that this node was asked for last, as a ring
-	next  int
+	Mute   bool // messages are not allowed: nothing is told
+	Prompt bool // signs of life are told at once: this node looks for them in place of all
+	Nodes  int  // of the fleet
+	at     Time
+	last   Time       // when something was told
+	now    bool       // something is worth telling before its time
+	own    [near]Mark // keys that this node was asked for last, as a ring
+	next   int
 }
 
 // Saw notes an attempt at a server under doubt. The more timings of it there were of late, told ones too, the smaller
@@ -67,6 +78,12 @@
 	}
 }
 
+// Alive notes a sign of life of a server that was believed down.
+func (t *Talk) Alive(m Mark) {
+	t.Ledger.Alive(m)
+	t.now = t.now || t.Prompt
+}
+
 // Asked tells a part of the keys that the node is asked for; the lot is drawn from 0 to 1. One that it was asked for a
 // moment ago is told at once, unless that is no more than the share of all requests that it is known to draw: the others
 // must hear of a key that begins to draw a large part before each of them has sent its first one to the same server.
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -142,10 +142,11 @@
 	}
 )
 
-// All is the address of all other nodes, None is no node.
+// All is the address of all other nodes, None is no node, and Mine is what agents call their own.
 const (
 	All  = -1
 	None = -1
+	Mine = -2
 )
 
 func (Send) effect()   {}
@@ -209,8 +210,11 @@
 	name string
 	id   uint32
 
-	high    uint64 // greatest token granted, or heard of under a duty held
-	to      int    // whom this node granted it
+	high     uint64 // greatest token that is known to have been held: what comes under a lesser one is old
+	promised uint64 // greatest token granted: whoever asks anew has to have a greater one
+	released uint64 // token that its holder gave back: what still comes under it was on its way
+
+	to      int // whom this node granted it
 	token   uint64
 	granted Time // until when
 	settled bool // it had it by its own word
@@ -225,11 +229,10 @@
 	since  Time
 	rounds [kept]round // a ring
 	last   uint32      // number of the last round
-	began  Time        // of the ask
-	sentAt Time
-	nextAt Time // when to ask; 0 is not planned
-	tries  int  // asks in a row that nobody won
-	free   Time // when a node that refused would grant
+	sentAt Time        // when an ask was last sent
+	nextAt Time        // when to ask; 0 is not planned
+	tries  int         // asks in a row that nobody won
+	free   Time        // when a node that refused would grant
 }
 
 // Core is one node's part. It is not safe for concurrent use.
@@ -369,33 +372,26 @@
 
 // pursue does what is due for a duty: to renew it, to ask for it again, or to begin to ask.
 func (c *Core) pursue(now Time, d *duty) {
-	every := c.cfg.Lease / repeats
-	if d.held && len(d.round(d.last).yes) >= majority(c.cfg.Nodes) {
-		every = c.cfg.Lease / renewals
-	}
-	switch {
+	switch r := d.round(d.last); {
 	case c.over:
-	case d.held:
-		if now-d.sentAt >= every {
-			c.send(now, d)
+	case d.own != 0 && !d.held && (len(r.no) > c.cfg.Nodes-majority(c.cfg.Nodes) || now-r.sent >= c.lease()/2):
+		if d.free <= now {
+			d.tries++
 		}
+		c.drop(now, d, Taken)
+		d.nextAt = max(now, d.free) + c.wait(d)
+	case d.held && now-r.sent >= c.cfg.Lease/renewals:
+		c.send(now, d)
+	case d.own != 0 && len(r.yes) < majority(c.cfg.Nodes) && now-d.sentAt >= c.cfg.Lease/repeats:
+		c.resend(now, d) // some may be lost
 	case d.own != 0:
-		if r := d.round(d.last); len(r.no) > c.cfg.Nodes-majority(c.cfg.Nodes) || now-d.began >= c.lease()/2 {
-			if d.free <= now {
-				d.tries++
-			}
-			c.drop(now, d, Taken)
-			d.nextAt = max(now, d.free) + c.wait(d)
-		} else if now-d.sentAt >= every {
-			c.send(now, d)
-		}
 	case c.abstains(now) || d.holder != None && now < d.heardTill || d.to != None && now < d.granted:
 		d.nextAt, d.tries = 0, 0
 	case d.nextAt == 0:
 		d.nextAt = now + c.wait(d)
 	case now >= d.nextAt:
-		d.own = max(d.high+1, c.wall(now))
-		d.began, d.free = now, 0
+		d.own = max(d.high+1, d.promised+1, c.wall(now))
+		d.free = 0
 		c.note(NoteAsked, d, c.cfg.Self, d.own, Granted)
 		c.send(now, d)
 	}
@@ -416,14 +412,18 @@
 // nothing.
 func (c *Core) send(now Time, d *duty) {
 	d.last++
-	d.sentAt = now
 	*d.round(d.last) = round{n: d.last, sent: now, yes: map[int]bool{}, no: map[int]bool{}, valid: true}
+	c.resend(now, d)
+	c.vote(now, d, c.cfg.Self, d.last, c.decide(now, d, c.cfg.Self, d.own, d.held), 0)
+}
+
+func (c *Core) resend(now Time, d *duty) {
+	d.sentAt = now
 	flags := byte(0)
 	if d.held {
 		flags = flagHeld
 	}
 	c.do(Send{All, c.message(kindAsk, d.id, d.own, d.last, flags)})
-	c.vote(now, d, c.cfg.Self, d.last, c.decide(now, d, c.cfg.Self, d.own, d.held), 0)
 }
 
 // decide answers an ask and keeps what it granted.
@@ -436,10 +436,12 @@
 		return Taken
 	case d.to != None && d.to != from && now < d.granted:
 		return Contested // a node that asks under another token has given the one before back
-	case token < d.high || token == d.high && !same:
+	case token < d.high || token <= d.released || token <= d.promised && !same && !held:
 		return Old
 	}
-	d.to, d.token, d.high, d.granted, d.settled = from, token, max(d.high, token), now+c.cfg.Lease, held
+	// A holder is granted its token again though another node was granted a greater one meanwhile and did not win: it must
+	// not lose the vote for good. What was promised stays promised.
+	d.to, d.token, d.promised, d.granted, d.settled = from, token, max(d.promised, token), now+c.cfg.Lease, held
 	return Granted
 }
 
@@ -495,24 +497,24 @@
 		if a.why = c.decide(now, d, e.From, m.token, m.flags&flagHeld != 0); a.why != Granted {
 			c.note(NoteRefused, d, e.From, m.token, a.why)
 		}
-		if a.high = d.high; a.why == Taken {
+		if a.high = max(d.high, d.promised); a.why == Taken {
 			a.left = uint32((d.granted - now) / time.Millisecond)
 		}
 		c.do(Send{e.From, a.encode()})
 	case kindAnswer:
 		if m.token == d.own {
-			d.high = max(d.high, min(m.high, c.wall(now)+ahead*1000))
+			d.promised = max(d.promised, min(m.high, c.wall(now)+ahead*1000))
 			c.vote(now, d, e.From, m.round, m.why, time.Duration(m.left)*time.Millisecond)
 		}
 	case kindRelease:
 		if d.to == e.From && d.token == m.token {
-			d.to = None // an ask of before that comes late finds its token used
+			d.to, d.released = None, max(d.released, m.token)
 		}
 		if d.holder == e.From && d.heardOf == m.token {
 			c.know(now, d, None, m.token)
 		}
 	case kindWord:
-		if m.token < d.high {
+		if m.token < d.high || m.token <= d.released {
 			c.note(NoteStale, d, e.From, m.token, Old)
 			return
 		}
@@ -523,7 +525,7 @@
 
 // heardHolder takes it that a node holds a duty, as it says itself: it had more than half of the fleet for it.
 func (c *Core) heardHolder(now Time, d *duty, from int, token uint64) {
-	if token < d.high || d.held && token <= d.own {
+	if token < d.high || token <= d.released || d.held && token <= d.own {
 		return
 	}
 	d.high = token
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 	Source   discovery.Source
 	Upstream func(s discovery.Server, origin bool, report func(*forward.Forward, forward.Answer)) Upstream
 	Tell     func([]byte) error // sends a datagram to all other nodes; nil where they may not be told
+	Spread   func(brain.Duty)   // tells all other nodes what the holder of a duty has to say; nil without duties
 	Count    *counters.Counters
 	Log      *slog.Logger
 }
@@ -136,6 +137,16 @@
 	}
 }
 
+// Duty tells the module of a duty: who has it, or what its holder told all. It never waits; the next news brings what was
+// lost.
+func (n *Node) Duty(ev brain.Event) {
+	select {
+	case n.queue <- func() { n.tell(ev) }:
+	default:
+		n.opt.Count.PeersDropped.Add(1)
+	}
+}
+
 // Drain makes the node answer everything it has taken by a time. The channel is closed when that is done.
 func (n *Node) Drain(by time.Time) <-chan struct{} {
 	n.post(n.queue, func() {
@@ -254,6 +265,10 @@
 		} else {
 			n.opt.Count.PeersTold.Add(1)
 		}
+	case brain.Spread:
+		if n.opt.Spread != nil {
+			n.opt.Spread(a.Duty)
+		}
 	case brain.Log:
 		n.opt.Log.Info(a.Text, logs.Event, "module")
 	default:
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 )
 
 // MaxBytes is the longest datagram that the platform takes.
@@ -22,10 +23,15 @@
 // Socket sends to all nodes and receives from them.
 type Socket struct {
 	conn *net.UDPConn
+	self netip.AddrPort
+	far  atomic.Pointer[far]
+}
+
+// far is where the other nodes are.
+type far struct {
 	all  netip.AddrPort
 	to   []netip.AddrPort // by the nodes' numbers
 	from map[netip.Addr]int
-	self netip.Addr
 }
 
 // Check tells which field is no address.
@@ -62,11 +68,45 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	s := &Socket{conn: conn, all: all, from: from, self: listen.Addr()}
+	s := &Socket{conn: conn, self: listen}
+	s.set(a, all, from)
+	return s, nil
+}
+
+func (s *Socket) set(a Addresses, all netip.AddrPort, from map[netip.Addr]int) {
+	f := &far{all: all, from: from}
 	for _, p := range a.Peers {
-		s.to = append(s.to, netip.MustParseAddrPort(p)) // parse took it
+		f.to = append(f.to, netip.MustParseAddrPort(p)) // parse took it
 	}
-	return s, nil
+	s.far.Store(f)
+}
+
+// Move takes other addresses of the other nodes. This node stays where it listens.
+func (s *Socket) Move(a Addresses) error {
+	listen, all, from, err := a.parse()
+	if err != nil {
+		return err
+	}
+	if listen != s.self {
+		return fmt.Errorf("peer_listen: %s can't become %s while the node runs", s.self, listen)
+	}
+	s.set(a, all, from)
+	return nil
+}
+
+// Changed is how many nodes two lists differ by, of those added and of those taken away.
+func (a Addresses) Changed(b Addresses) (n int) {
+	for _, p := range a.Peers {
+		if !slices.Contains(b.Peers, p) {
+			n++
+		}
+	}
+	for _, p := range b.Peers {
+		if !slices.Contains(a.Peers, p) {
+			n++
+		}
+	}
+	return n
 }
 
 // Tell sends a datagram to all nodes. One that cannot be sent is lost, as any may be.
@@ -74,16 +114,17 @@
 	if len(data) > MaxBytes {
 		return fmt.Errorf("peers: a datagram of %d bytes, %d are allowed", len(data), MaxBytes)
 	}
-	_, err := s.conn.WriteToUDPAddrPort(data, s.all)
+	_, err := s.conn.WriteToUDPAddrPort(data, s.far.Load().all)
 	return err
 }
 
 // TellTo sends a datagram to one node, by its number.
 func (s *Socket) TellTo(node int, data []byte) error {
-	if len(data) > MaxBytes || node < 0 || node >= len(s.to) {
+	to := s.far.Load().to
+	if len(data) > MaxBytes || node < 0 || node >= len(to) {
 		return fmt.Errorf("peers: no datagram of %d bytes goes to node %d", len(data), node)
 	}
-	_, err := s.conn.WriteToUDPAddrPort(data, s.to[node])
+	_, err := s.conn.WriteToUDPAddrPort(data, to[node])
 	return err
 }
 
@@ -99,9 +140,9 @@
 		if err != nil {
 			return err
 		}
-		from, known := s.from[addr.Addr().Unmap()]
+		from, known := s.far.Load().from[addr.Addr().Unmap()]
 		switch {
-		case addr.Addr().Unmap() == s.self:
+		case addr.Addr().Unmap() == s.self.Addr():
 		case !known || n > MaxBytes:
 			foreign(addr)
 		default:
--- a/internal/rollout/agent/agent.go
+++ b/internal/rollout/agent/agent.go
@@ -1,36 +1,30 @@
-// Package agent runs the agreement on who may go out of service inside a node: one goroutine owns the core, a bounded
-// queue leads to it, and a Unix socket takes the operators' calls. It decides nothing.
+// Package agent runs the agreement on who may go out of service inside a node: one goroutine owns the core, and a bounded
+// queue leads to it. It decides nothing.
 package agent
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
-	"net"
-	"net/http"
-	"os"
+	"net/url"
 	"time"
 
+	"shelfproxy/internal/control"
 	"shelfproxy/internal/logs"
 	"shelfproxy/internal/rollout"
 )
 
 // Options are what an agent is made of.
 type Options struct {
-	Core    rollout.Config
-	Control string                          // path of the Unix socket for operators; empty for none
-	Send    func(to int, data []byte) error // to one node, by its number
-	Go      func()                          // ends the node; called once, when the fleet lets it go
-	Served  func() rollout.Served           // of the node, since its start
-	Note    func(kind rollout.NoteKind)     // counts
-	Log     *slog.Logger
+	Core   rollout.Config
+	Send   func(to int, data []byte) error // to one node, by its number
+	Go     func()                          // ends the node; called once, when the fleet lets it go
+	Served func() rollout.Served           // of the node, since its start
+	Note   func(kind rollout.NoteKind)     // counts
+	Log    *slog.Logger
 }
 
-const (
-	queueLength = 1024
-	longestCall = 4 << 10
-)
+const queueLength = 1024
 
 // Agent is one node's part in the agreement.
 type Agent struct {
@@ -39,6 +33,7 @@
 	queue chan func()
 	start time.Time
 	gone  bool
+	over  chan struct{}
 
 	told rollout.Served // to the core
 }
@@ -49,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Agent{opt: opt, core: core, queue: make(chan func(), queueLength), start: time.Now()}, nil
+	return &Agent{opt: opt, core: core, queue: make(chan func(), queueLength), start: time.Now(), over: make(chan struct{})}, nil
 }
 
 // Heard hands over a datagram of another node. While the agent is behind it is lost, as any may be.
@@ -69,6 +64,7 @@
 
 // Run owns the core until stop is closed.
 func (a *Agent) Run(stop <-chan struct{}) {
+	defer close(a.over)
 	tick := time.NewTicker(a.opt.Core.Beacon / 4)
 	defer tick.Stop()
 	for {
@@ -127,66 +123,47 @@
 }
 
 // Status is the agreement as this node sees it.
-func (a *Agent) Status() rollout.Status {
+func (a *Agent) Status() (rollout.Status, error) {
 	got := make(chan rollout.Status, 1)
-	a.queue <- func() { got <- a.core.Status(a.now()) }
-	return <-got
-}
-
-// Serve takes operators' calls until stop is closed: GET /status, and POST /drain, /halt, /resume and /roll?to=RELEASE.
-// The socket's folder decides who may call.
-func (a *Agent) Serve(stop <-chan struct{}) error {
-	if a.opt.Control == "" {
-		return nil
-	}
-	if c, err := net.Dial("unix", a.opt.Control); err == nil { // of a process before, and nobody answers there
-		c.Close()
-	} else {
-		os.Remove(a.opt.Control)
+	select {
+	case a.queue <- func() { got <- a.core.Status(a.now()) }:
+	default:
+		return rollout.Status{}, control.ErrBusy
 	}
-	ln, err := net.Listen("unix", a.opt.Control)
-	if err != nil {
-		return err
+	select {
+	case s := <-got:
+		return s, nil
+	case <-a.over:
+		return rollout.Status{}, control.ErrBusy
 	}
-	calls := map[string]func(*http.Request) (rollout.Event, error){
-		"/drain":  func(*http.Request) (rollout.Event, error) { return rollout.Leave{}, nil },
-		"/halt":   func(*http.Request) (rollout.Event, error) { return rollout.Halt{}, nil },
-		"/resume": func(*http.Request) (rollout.Event, error) { return rollout.Resume{}, nil },
-		"/roll": func(q *http.Request) (rollout.Event, error) {
-			to := q.URL.Query().Get("to")
-			if to == "" {
-				return nil, errors.New("to: which release?")
+}
+
+// Register adds the operators' calls: status, drain, halt, resume and roll with to=RELEASE.
+func (a *Agent) Register(s *control.Server) {
+	s.Look("status", func(url.Values) (any, error) { return a.Status() })
+	steer := func(name string, event func(url.Values) (rollout.Event, error)) {
+		s.Steer(name, func(query url.Values) (any, error) {
+			ev, err := event(query)
+			if err != nil {
+				return nil, err
 			}
-			return rollout.Roll{Release: to}, nil
-		},
-	}
-	server := &http.Server{ReadTimeout: time.Second, WriteTimeout: 2 * time.Second, MaxHeaderBytes: longestCall,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-			call := calls[q.URL.Path]
-			switch {
-			case call != nil && q.Method == http.MethodPost:
-				ev, err := call(q)
-				if err != nil {
-					http.Error(w, err.Error(), http.StatusBadRequest)
-					return
-				}
-				if !a.post(ev) {
-					http.Error(w, "busy", http.StatusServiceUnavailable)
-					return
-				}
-			case q.URL.Path != "/status" || q.Method != http.MethodGet:
-				http.Error(w, "no such call", http.StatusNotFound)
-				return
+			if !a.post(ev) {
+				return nil, control.ErrBusy
 			}
-			w.Header().Set("Content-Type", "application/json")
-			json.NewEncoder(w).Encode(a.Status())
-		})}
-	go func() {
-		<-stop
-		server.Close()
-	}()
-	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		return err
+			return a.Status()
+		})
+	}
+	plain := func(ev rollout.Event) func(url.Values) (rollout.Event, error) {
+		return func(url.Values) (rollout.Event, error) { return ev, nil }
 	}
-	return nil
+	steer("drain", plain(rollout.Leave{}))
+	steer("halt", plain(rollout.Halt{}))
+	steer("resume", plain(rollout.Resume{}))
+	steer("roll", func(query url.Values) (rollout.Event, error) {
+		to := query.Get("to")
+		if to == "" {
+			return nil, errors.New("to: which release?")
+		}
+		return rollout.Roll{Release: to}, nil
+	})
 }
