Let reads that a full server turned away move on to servers that do better, at no charge

Causes: (1) outcome let a read move on from a full server only while the origin is under 0.05 (spill), which a calm origin whose times vary by a sigma of 0.7 never is. (2) each such move took a second attempt of the class's budget, 0.34 of all reads, and more than that were turned away; then the read was refused. (3) the next server by hash was as often full as not.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,7 +27,6 @@
 	targetOver  = 3                       // target over the normal median
 	creep       = 50                      // a learned target rises by 1/creep at a time
 	quietFirst  = 2                       // objectives count from this many on
-	chance      = 4.0                     // requests that a tenant may send at once above a second's share
 	calm        = 0.2                     // utilisation up to which timings count as quiet
 	hotShare    = 0.5                     // part of a server's fair share past which one key is hot
 	servedPrior = 0.1                     // answers a server assumed, so that a new router uses cold ones
@@ -117,7 +116,7 @@
 
 // next maps a slot to cache servers by weighted rendezvous hashing: the one with the lowest score above after
 // (the owner if after is 0). A cold server weighs as little as its warmth. Routers agree without talking.
-func (r *Router) next(slot uint64, after float64, avoid *server) (best *server, score float64) {
+func (r *Router) next(slot uint64, after float64, q *request) (best *server, score float64) {
 	score = math.Inf(1)
 	for _, s := range r.servers {
 		if s.opinion.Keep < 1 && unit(mix(slot+s.hash)) >= s.opinion.Keep {
@@ -125,7 +124,7 @@
 		}
 		// A zone that is cut off must not be found out server by server: each costs a connect that fails.
 		cut := r.set.Probes && s.Zone != r.set.Zone && r.unreached[s.Zone] >= cutOff
-		if s.silent && (r.set.Probes || s.breaker.Open(r.now)) || cut || s == avoid || !r.takesKeys(s) {
+		if s.silent && (r.set.Probes || s.breaker.Open(r.now)) || cut || q.avoids(s) || !r.takesKeys(s) {
 			continue
 		}
 		weight := r.warmth(s)
@@ -198,11 +197,11 @@
 // is spread over as many of the next servers as bring it under that part of each, the least busy of them.
 func (r *Router) pick(q *request) *server {
 	slot := mix(hash(q.Key)%slots + 1)
-	s, at := r.next(slot, 0, q.avoid)
+	s, at := r.next(slot, 0, q)
 	var best *server
 	over := r.heat(q.Key) / hotShare
 	part := r.one / float64(1+int(over))
-	for tried := 0; s != nil; s, at = r.next(slot, at, q.avoid) {
+	for tried := 0; s != nil; s, at = r.next(slot, at, q) {
 		s.asked += part
 		if !r.mayTake(s, q, part) {
 			continue
@@ -274,15 +273,8 @@
 	r.requests[e.ID] = q
 	r.count(e.Key)
 	q.worth = c.Worth / r.topWorth
-	if t := r.tenants[e.Tenant]; t != nil {
-		rate := t.quota / float64(r.set.Routers)
-		t.tokens = min(rate+chance, t.tokens+rate*(r.now-t.at).Seconds())
-		if t.at = r.now; t.tokens >= 1 {
-			t.tokens--
-		} else {
-			q.worth *= r.set.OverShare
-			q.beyond = true
-		}
+	if q.beyond = !r.shares.Within(r.now, e.Tenant); q.beyond {
+		q.worth *= r.set.OverShare
 	}
 	for !e.Write && q.bucket < bulk && q.worth <= leastWorth[q.bucket] {
 		q.bucket++
@@ -538,6 +530,10 @@
 	case e.Reason == Miss:
 		q.missed = true
 		r.advance(q)
+	case cache && e.Reason == Rejected && len(q.attempts) < 3 && s.opinion.Doubtful():
+		// Others have room: on past all that do worse. Nothing was done, so it is no second attempt.
+		q.avoid, q.turned = s, true
+		r.advance(q)
 	case e.Reason == TimedOut || e.Reason == Moot || !r.budgets[q.class].Second(r.now):
 		r.giveUp(q)
 	case cache && e.Reason == Spoilt: // again where the object is: any server spoils an answer now and then
--- a/brain/router.go
+++ b/brain/router.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -14,6 +13,7 @@
 	"shelfproxy/internal/ejection"
 	"shelfproxy/internal/gossip"
 	"shelfproxy/internal/health"
+	"shelfproxy/internal/shares"
 	"shelfproxy/internal/tally"
 	"shelfproxy/internal/zones"
 )
@@ -86,6 +86,7 @@
 	open     int
 	ended    bool
 	avoid    *server  // failed this request
+	turned   bool     // away by a server that does worse than the others: none such will do
 	worth    float64  // of the greatest
 	beyond   bool     // its tenant's share
 	missed   bool     // at a cache server; the next step is the origin
@@ -100,11 +101,6 @@
 	waiting []*request
 }
 
-type tenant struct {
-	quota, tokens float64
-	at            Time
-}
-
 // Router decides for one router. It is not safe for concurrent use.
 type Router struct {
 	set       Settings
@@ -113,7 +109,7 @@
 	acts      []Action
 	classes   map[string]*Class
 	topWorth  float64
-	tenants   map[string]*tenant
+	shares    *shares.Shares
 	servers   []*server // sorted by id
 	byID      map[string]*server
 	unreached map[string]int // failed connects in a row, by zone
@@ -168,7 +164,7 @@
 // New makes a Router. The seed feeds its only random numbers: waits, lots and the phase of refusals.
 func New(set Settings, seed uint64) (*Router, error) {
 	r := &Router{set: set, rng: rand.New(rand.NewPCG(seed, seed)), classes: map[string]*Class{},
-		tenants: map[string]*tenant{}, byID: map[string]*server{}, unreached: map[string]int{},
+		shares: shares.New(max(1, set.Routers)), byID: map[string]*server{}, unreached: map[string]int{},
 		requests: map[uint64]*request{}, flights: map[string]*flight{},
 		byMark: map[gossip.Mark]*server{}, talk: gossip.Talk{Mute: !set.Peers, Nodes: set.Routers},
 		one: 1, reach: zones.Reach{Leave: set.LeaveOwner}, gate: admission.Concurrency{Most: gateMost}, budgets: map[*Class]*admission.Budget{}}
@@ -199,7 +195,7 @@
 		r.owed[b] = r.rng.Float64() // or all routers would refuse in step
 	}
 	for _, t := range set.Tenants {
-		r.tenants[t.Name] = &tenant{quota: t.Quota, tokens: math.Inf(1)} // full at its first request
+		r.shares.Add(t.Name, t.Quota)
 	}
 	return r, nil
 }
@@ -410,6 +406,9 @@
 	return slow
 }
 
+// avoids tells whether a request is not to go to a server that would do for its key.
+func (q *request) avoids(s *server) bool { return s == q.avoid || q.turned && s.opinion.Doubtful() }
+
 // movable tells whether an attempt may be called off for another one.
 func (a *attempt) movable(r *Router) bool {
 	return r.set.Cancels && !a.q.ended && a.q.class.Effect == Safe
--- a/internal/gossip/opinion.go
+++ b/internal/gossip/opinion.go
@@ -42,6 +42,9 @@
 // Wants is the part of its slots that the server would give up by how it does.
 func (o *Opinion) Wants() float64 { return 1 - max(keepLeast, min(1, 2-o.excess/outlier)) }
 
+// Doubtful tells whether it does worse than the others do, by so much that they are told of it.
+func (o *Opinion) Doubtful() bool { return o.excess > doubt }
+
 // Bound lets it give up no more than so much of its slots, from now on.
 func (o *Opinion) Bound(most float64) {
 	o.least = 1 - most
--- a/internal/lab/demo/show.go
+++ b/internal/lab/demo/show.go
@@ -119,6 +119,10 @@
 		cpu.Seconds()*1000/float64(taken), float64(s.Requests)/float64(taken), s.Probes, s.Calls)
 	fmt.Fprintf(w, "rig: sends late by p99 %s ms, max %s ms; emulator late by p99 %.1f ms, max %.1f ms; event log %016x\n",
 		clients.Millis(r.Generator.Lag, 99), clients.Millis(r.Generator.Lag, 100), s.LateP99.Seconds()*1000, s.LateMax.Seconds()*1000, s.Events)
+	if o := r.Roll; o != nil {
+		fmt.Fprintf(w, "roll: %d of %d nodes on the next release after %.1f s, %d out at once at most, a node out for %.1f s at most; %d datagrams, %d bytes between nodes; halted: %v\n",
+			o.Done, len(r.Nodes), o.Took.Seconds(), o.Most, o.Slowest.Seconds(), o.Datagrams, o.Bytes, o.HaltedOnce)
+	}
 	for _, why := range r.Generator.Invalid() {
 		fmt.Fprintln(w, "the latencies are not to be believed:", why)
 	}
--- a/internal/lab/emulate/configs.go
+++ b/internal/lab/emulate/configs.go
@@ -87,7 +87,8 @@
 		}
 		coldest, slowest = min(coldest, b.Kind.ColdFrom), max(slowest, b.Kind.WarmAfter)
 	}
-	return object{
+	tells := e.opt.Peers != nil
+	o := object{
 		"name": c.Name, "listen": c.Listen, "discovery": e.http[c.Number].ln.Addr().String(),
 		"seed":   fmt.Sprintf("%016x", rand.Uint64()),
 		"limits": object{"cores": p.Nodes.Cores, "memory_mb": p.Nodes.MemoryMB, "sockets": p.Nodes.Sockets},
@@ -100,8 +101,12 @@
 			"limits": object{"probes": p.Nodes.Probes, "cancel": p.Nodes.Cancel, "retry_after": p.Nodes.RetryAfter > 0,
 				"max_retry_after": us(p.Nodes.RetryAfter.D()), "max_attempts": p.Nodes.MaxAttempts, "max_open": p.Nodes.MaxOpen,
 				"streams_per_conn": p.Nodes.Streams, "connect_timeout": us(p.Nodes.ConnectTimeout.D()),
-				"conn_idle": us(p.Nodes.ConnectionIdle.D())},
+				"conn_idle": us(p.Nodes.ConnectionIdle.D()), "may_tell": tells},
 			"rules": object{"cold_from": coldest, "warm_after": us(slowest), "overload_factor": p.Rules.FallFactor},
 		},
 	}
+	if tells {
+		o["peer_listen"], o["peers"], o["peers_all"] = e.opt.Peers(c.Number)
+	}
+	return o
 }
--- a/internal/lab/emulate/emulate.go
+++ b/internal/lab/emulate/emulate.go
@@ -30,6 +30,9 @@
 	// BasePort, if not 0, is where the fixed ports begin: node i is told to listen at BasePort+i, and its discovery is
 	// at BasePort+100+i. With 0 all ports are free ones.
 	BasePort int
+	// Peers says where a node is to listen for messages of the others, where these are, and what reaches all of them. Without
+	// it nodes may not send each other messages.
+	Peers func(node int) (listen string, peers []string, all string)
 	// Trace gets the model's event log, if set.
 	Trace func(line []byte)
 }
--- a/internal/lab/nodes/nodes.go
+++ b/internal/lab/nodes/nodes.go
@@ -122,6 +122,13 @@
 	return p.cmd.Process.Signal(sig)
 }
 
+// Leaves says that the node ends by itself, as it was asked to.
+func (p *Process) Leaves() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopping = true
+}
+
 // Stopping tells whether the rig has told it to end.
 func (p *Process) Stopping() bool {
 	p.mu.Lock()
