--- a/brain/router.go
+++ b/brain/router.go
@@ -409,6 +409,17 @@
 // avoids tells whether a request is not to go to a server that would do for its key.
 func (q *request) avoids(s *server) bool { return s == q.avoid || q.turned && s.opinion.Doubtful() }
 
+// elsewhere has a request go on past a server that turned it away, and past all that do as badly, if one is left.
+func (r *Router) elsewhere(q *request, s *server) bool {
+	avoid := q.avoid
+	q.avoid, q.turned = s, true
+	if other, _ := r.next(mix(hash(q.Key)%slots+1), 0, q); other != nil {
+		return true
+	}
+	q.avoid, q.turned = avoid, false
+	return false
+}
+
 // movable tells whether an attempt may be called off for another one.
 func (a *attempt) movable(r *Router) bool {
 	return r.set.Cancels && !a.q.ended && a.q.class.Effect == Safe
--- /dev/null
+++ b/internal/discovery/client.go
@@ -0,0 +1,128 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Source is where lists come from. A watch in the manner of another service can take its place.
+type Source interface {
+	// Watch reports every change after a version until stop is called; then, or when it breaks, it ends. Its
+	// last report is an error unless it was stopped.
+	Watch(after int64, report func(List, error)) (stop func())
+}
+
+// Client speaks to the discovery service at Addr. It moves bytes; a Follower decides.
+type Client struct {
+	Addr string
+	once sync.Once
+	http *http.Client
+}
+
+// Path is that of the call for a watch on what changes after a version.
+func Path(after int64) string {
+	return "/discovery/hosts?watch=1&after=" + strconv.FormatInt(after, 10)
+}
+
+// Watch opens a watch of its own connection.
+func (c *Client) Watch(after int64, report func(List, error)) (stop func()) {
+	c.once.Do(func() {
+		c.http = &http.Client{Transport: &http.Transport{
+			DialContext:       (&net.Dialer{Timeout: answerWithin}).DialContext,
+			DisableKeepAlives: true, ResponseHeaderTimeout: answerWithin}}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer cancel()
+		w := &watch{follower: NewFollower(time.Now()), cancel: cancel, report: report}
+		w.timer = time.AfterFunc(time.Until(w.follower.Next()), w.due)
+		defer w.timer.Stop()
+		err := w.follow(ctx, c.http, "http://"+c.Addr+Path(after))
+		if err != nil && (ctx.Err() == nil || w.silent()) {
+			report(List{}, err)
+		}
+	}()
+	return cancel
+}
+
+// chunk is how much of a watch is read at once.
+const chunk = 16 << 10
+
+// watch is the shell round one follower.
+type watch struct {
+	mu       sync.Mutex
+	follower *Follower
+	over     error // why the follower ended it while the shell waited
+	timer    *time.Timer
+	cancel   func()
+	report   func(List, error)
+}
+
+// due ends the call where the follower gives it up: whatever the shell waits for breaks.
+func (w *watch) due() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.follower.Due(time.Now()); err != nil {
+		w.over = err
+		w.cancel()
+		return
+	}
+	w.timer.Reset(max(time.Millisecond, time.Until(w.follower.Next())))
+}
+
+func (w *watch) silent() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.over != nil
+}
+
+// step makes one call of the follower; what ended it before goes first.
+func (w *watch) step(f func(now time.Time) ([]List, error)) ([]List, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.over != nil {
+		return nil, w.over
+	}
+	return f(time.Now())
+}
+
+func (w *watch) follow(ctx context.Context, client *http.Client, url string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		_, err = w.step(func(time.Time) ([]List, error) { return nil, err })
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := w.step(func(now time.Time) ([]List, error) { return nil, w.follower.Answered(now, resp.StatusCode) }); err != nil {
+		return err
+	}
+	buf := make([]byte, chunk)
+	for {
+		n, broke := resp.Body.Read(buf)
+		lists, err := w.step(func(now time.Time) ([]List, error) { return w.follower.Received(now, buf[:n]) })
+		if err == nil && broke != nil {
+			if errors.Is(broke, io.EOF) {
+				broke = nil
+			}
+			var last []List
+			last, err = w.step(func(now time.Time) ([]List, error) { return w.follower.Ended(now, broke) })
+			lists = append(lists, last...)
+		}
+		for _, l := range lists {
+			w.report(l, nil)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/core.go
@@ -0,0 +1,571 @@
+package forward
+
+import (
+	"errors"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"shelfproxy/internal/flow"
+)
+
+// Forward is one attempt of a flow at a server, or a probe of it.
+type Forward struct {
+	Flow     *flow.Flow // nil for a probe
+	Attempt  int
+	Server   string
+	Sent     time.Time // when the node handed it to the pool
+	Deadline time.Time
+	Fresh    bool // wants a connection of its own: on a kept one that is closed just then it may have run
+
+	// The core's.
+	conn    *Conn
+	until   time.Time // it waits no longer for a connection; zero while one is on its way
+	moves   int       // connections that turned out to be of no use before it was written
+	started bool      // some of it may be out
+	written bool      // all of it may be out
+	given   bool      // given up: its answer is read and dropped
+}
+
+// Answer is what a server sent for a forward.
+type Answer struct {
+	End   End
+	Value []byte // Served: the value or receipt
+	Load  []byte // the load report, if one came
+	Close bool   // the server ends the connection after this answer
+}
+
+// Decoder takes the bytes of one connection as they come and cuts answers out of them, in order. It has no clock and
+// no I/O.
+type Decoder interface {
+	// Space is where the next bytes are to be put; it is never empty.
+	Space() []byte
+	// Took says that so many were put there.
+	Took(n int)
+	// Next is the next whole answer; false where more bytes are wanted. ended says that no more will come. ErrGarbage is
+	// returned for bytes that are no answer.
+	Next(ended bool) (Answer, bool, error)
+	// Buffered is how many bytes came that belong to no answer yet.
+	Buffered() int
+}
+
+// ErrGarbage is returned by a Decoder for bytes that are no answer.
+var ErrGarbage = errors.New("no answer of this protocol")
+
+// Codec is what differs between protocols.
+type Codec interface {
+	// Append appends the request's bytes.
+	Append(b []byte, f *Forward, now time.Time) []byte
+	NewDecoder() Decoder
+}
+
+// Limits bound a pool.
+type Limits struct {
+	Connect time.Duration // a connection not up by then never comes up
+	Idle    time.Duration // idle connections are closed after this, before the server does it
+	Streams int           // forwards on one connection
+	Conns   int           // connections of one pool
+	Waiting int           // forwards that wait for a connection
+	Share   time.Duration // a forward goes behind one that has been out for less, rather than on a new connection
+}
+
+// Budget counts the descriptors that several pools share.
+type Budget struct{ total, left, refused atomic.Int64 }
+
+// NewBudget returns a budget of n descriptors.
+func NewBudget(n int) *Budget {
+	b := &Budget{}
+	b.Set(n)
+	return b
+}
+
+// Set changes the size of the budget. Connections past a smaller one stay until they end.
+func (b *Budget) Set(n int) { b.left.Add(int64(n) - b.total.Swap(int64(n))) }
+
+// Use is how many are in use, and how often there was none left.
+func (b *Budget) Use() (used int, refused int64) {
+	return int(b.total.Load() - b.left.Load()), b.refused.Load()
+}
+
+func (b *Budget) take() bool {
+	if b.left.Add(-1) >= 0 {
+		return true
+	}
+	b.left.Add(1)
+	b.refused.Add(1)
+	return false
+}
+
+func (b *Budget) give() { b.left.Add(1) }
+
+// own is how many connections a pool may hold beside the shared budget, so that no server is out of reach
+// because others took it all.
+const own = 2
+
+// maxMoves bounds how often a forward is given another connection, for a server that spoils each at its start.
+const maxMoves = 3
+
+// EffectKind is what a core wants done.
+type EffectKind int
+
+// The kinds of effects.
+const (
+	Dial   EffectKind = iota // open Conn to Addr, and say Dialed
+	Write                    // Conn has something to write: Pull until it has no more
+	Shut                     // close Conn, with whatever is on its way on it
+	Report                   // Forward ended with Answer
+)
+
+// Effect is one thing that a core wants done, in the order in which they come.
+type Effect struct {
+	Kind    EffectKind
+	Conn    *Conn
+	Addr    string
+	Forward *Forward
+	Answer  Answer
+}
+
+// Effects collects what one call wants done. The core keeps none of it.
+type Effects []Effect
+
+func (fx *Effects) report(f *Forward, a Answer) {
+	*fx = append(*fx, Effect{Kind: Report, Forward: f, Answer: a})
+}
+
+// Conn is one connection, as the core and its shell share it.
+type Conn struct {
+	// Socket is the shell's.
+	Socket any
+	// Decoder is where the shell puts what it reads, between calls of Received.
+	Decoder Decoder
+
+	shared  bool     // counted in the budget
+	only    *Forward // it was dialed for
+	up      bool
+	pending []*Forward // in the order of their answers
+	queue   []*Forward // of pending, those that are not written yet
+	writing *Forward   // its bytes are on their way out
+	closed  bool
+	end     End       // why it closed, for those pending
+	idle    time.Time // since when it has nothing to do
+}
+
+// Quiet tells whether a forward that is pulled now is the only one on the connection, so that bytes which are there to
+// read already can be no answer to it.
+func (c *Conn) Quiet() bool { return len(c.queue) > 0 && len(c.pending) == 1 }
+
+// Closed tells whether it has ended.
+func (c *Conn) Closed() bool { return c.closed }
+
+// Core decides for the connections to one server: which one carries a forward, who waits, when one more is opened, when
+// one is closed, and how each forward ends. It has no clock, no sockets and no goroutines; its calls take the time and
+// return or collect what is to be done. It is not safe for concurrent use.
+type Core struct {
+	codec  Codec
+	limits Limits
+	budget *Budget
+
+	addr    string
+	conns   []*Conn // that are up
+	idle    []*Conn // the one used last is at the end
+	waiting []*Forward
+	dialing int
+	growth  growth
+	left    bool // the server drains or is gone: nothing new is written
+}
+
+// NewCore makes a core for a server at an address.
+func NewCore(addr string, codec Codec, limits Limits, budget *Budget) *Core {
+	return &Core{addr: addr, codec: codec, limits: limits, budget: budget}
+}
+
+// Conns is how many connections are up or on their way.
+func (p *Core) Conns() int { return len(p.conns) + p.dialing }
+
+// Waits is how many forwards wait for a connection.
+func (p *Core) Waits() int { return len(p.waiting) }
+
+// Send starts a forward. When it returns false the forward has ended already, as the End says.
+func (p *Core) Send(now time.Time, f *Forward, fx *Effects) (End, bool) {
+	if p.left {
+		return Drained, false
+	}
+	return p.place(now, f, fx)
+}
+
+// place finds a forward of which nothing was written a connection, or lets it wait for one.
+func (p *Core) place(now time.Time, f *Forward, fx *Effects) (End, bool) {
+	if f.Fresh && p.dial(f, fx) {
+		return 0, true
+	}
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.push(c, f, fx)
+		return 0, true
+	}
+	if c := p.young(now, f); c != nil && !p.growth.want(time.Duration(now.UnixNano())) {
+		p.push(c, f, fx)
+		return 0, true
+	}
+	if p.dial(nil, fx) {
+		p.waiting = append(p.waiting, f)
+		return 0, true
+	}
+	// No more connections may be opened. Answers come in order, so a forward is put behind as few as possible.
+	var best *Conn
+	for _, c := range p.conns {
+		if len(c.pending) < p.limits.Streams && (best == nil || len(c.pending) < len(best.pending)) {
+			best = c
+		}
+	}
+	switch {
+	case best != nil:
+		p.push(best, f, fx)
+	case len(p.waiting) < p.limits.Waiting:
+		// No connection is on its way for this one. It waits no longer than it would for one, as the module may
+		// know better than to let it wait all its time.
+		f.until = now.Add(p.limits.Connect)
+		p.waiting = append(p.waiting, f)
+	default:
+		return NoRoom, false
+	}
+	return 0, true
+}
+
+// young finds a connection with one forward out, and that for no more than a moment: an answer behind it will be little
+// later than on a connection that has to come up first. A probe must not wait behind others, nor they behind it.
+func (p *Core) young(now time.Time, f *Forward) *Conn {
+	if f.Flow == nil || f.Fresh || p.limits.Streams < 2 {
+		return nil
+	}
+	for _, c := range p.conns {
+		if len(c.pending) == 1 {
+			if h := c.pending[0]; h.Flow != nil && !h.given && now.Sub(h.Sent) < p.limits.Share {
+				return c
+			}
+		}
+	}
+	return nil
+}
+
+// Next is when Due is wanted next; the zero time is not.
+func (p *Core) Next() (at time.Time) {
+	sooner := func(t time.Time) {
+		if at.IsZero() || t.Before(at) {
+			at = t
+		}
+	}
+	if len(p.idle) > 0 { // the one idle for longest is first
+		sooner(p.idle[0].idle.Add(p.limits.Idle))
+	}
+	for _, f := range p.waiting {
+		if !f.until.IsZero() {
+			sooner(f.until)
+			break // they wait equally long, in their order
+		}
+	}
+	return at
+}
+
+// Due ends waits and idle connections whose time is over.
+func (p *Core) Due(now time.Time, fx *Effects) {
+	for len(p.idle) > 0 && !now.Before(p.idle[0].idle.Add(p.limits.Idle)) {
+		p.close(now, p.idle[0], Broken, fx)
+	}
+	p.waiting = slices.DeleteFunc(p.waiting, func(f *Forward) bool {
+		over := !f.until.IsZero() && !now.Before(f.until)
+		if over {
+			end := NoRoom
+			if f.Flow == nil || len(p.conns) == 0 {
+				end = NoConnect
+			}
+			fx.report(f, Answer{End: end})
+		}
+		return over
+	})
+}
+
+// Abandon gives a forward up and tells whether any of it may have been written. Its connection is closed,
+// which tells the server, unless others wait for answers on it: those must not be killed.
+func (p *Core) Abandon(now time.Time, f *Forward, fx *Effects) (written bool) {
+	f.given = true
+	p.waiting = slices.DeleteFunc(p.waiting, func(w *Forward) bool { return w == f })
+	c := f.conn
+	if c == nil {
+		return f.written
+	}
+	if i := slices.Index(c.queue, f); i >= 0 { // not one byte of it was written, and none will be
+		c.queue = slices.Delete(c.queue, i, i+1)
+		c.pending = slices.DeleteFunc(c.pending, func(o *Forward) bool { return o == f })
+		f.conn = nil
+	}
+	p.wasted(now, c, fx)
+	p.next(now, c, fx)
+	return f.written
+}
+
+// wasted closes a connection on which only answers are awaited that nobody wants any more.
+func (p *Core) wasted(now time.Time, c *Conn, fx *Effects) {
+	if len(c.pending) > 0 && !slices.ContainsFunc(c.pending, func(o *Forward) bool { return !o.given }) {
+		p.close(now, c, Broken, fx)
+	}
+}
+
+// CloseIdle closes the connections that nothing waits on.
+func (p *Core) CloseIdle(now time.Time, fx *Effects) {
+	for len(p.idle) > 0 {
+		p.close(now, p.idle[len(p.idle)-1], Broken, fx)
+	}
+}
+
+// Update says where the server is now and whether it takes new work. Forwards of which nothing was written to a server
+// that left are returned: they end as Drained.
+func (p *Core) Update(now time.Time, addr string, left bool, fx *Effects) (drained []*Forward) {
+	if addr != p.addr {
+		p.CloseIdle(now, fx)
+	}
+	p.addr, p.left = addr, left
+	if !left {
+		return nil
+	}
+	drained, p.waiting = p.waiting, nil
+	for _, c := range slices.Clone(p.conns) {
+		drained = append(drained, c.queue...)
+		c.pending = slices.DeleteFunc(c.pending, func(f *Forward) bool { return slices.Contains(c.queue, f) })
+		c.queue = nil
+		p.next(now, c, fx)
+	}
+	p.CloseIdle(now, fx)
+	for _, f := range drained {
+		f.conn = nil
+	}
+	return drained
+}
+
+// dial opens a connection if the limits allow one more; for this forward alone, where there is one.
+func (p *Core) dial(only *Forward, fx *Effects) bool {
+	n := p.Conns()
+	if n >= p.limits.Conns {
+		return false
+	}
+	c := &Conn{only: only, shared: n >= own}
+	if c.shared && !p.budget.take() {
+		return false
+	}
+	p.dialing++
+	*fx = append(*fx, Effect{Kind: Dial, Conn: c, Addr: p.addr})
+	return true
+}
+
+// dialMore opens a connection if more forwards wait than connections are on their way.
+func (p *Core) dialMore(fx *Effects) {
+	if len(p.waiting) > p.dialing {
+		p.dial(nil, fx)
+	}
+}
+
+// Dialed says whether a connection came up.
+func (p *Core) Dialed(now time.Time, c *Conn, up bool, fx *Effects) {
+	p.dialing--
+	only := c.only
+	c.only = nil
+	if only != nil && only.given {
+		only = nil
+	}
+	if !up {
+		if c.shared {
+			p.budget.give()
+		}
+		if only == nil && len(p.waiting) > 0 {
+			only = p.pop()
+		}
+		p.dialMore(fx)
+		if only != nil {
+			fx.report(only, Answer{End: NoConnect})
+		}
+		return
+	}
+	c.up, c.Decoder = true, p.codec.NewDecoder()
+	p.conns = append(p.conns, c)
+	if only != nil && !p.left {
+		p.push(c, only, fx)
+	}
+	p.next(now, c, fx)
+	if only != nil && p.left {
+		fx.report(only, Answer{End: Drained})
+	}
+}
+
+// pop takes the forward that has waited for longest.
+func (p *Core) pop() *Forward {
+	f := p.waiting[0]
+	p.waiting[0] = nil // the array outlives it, and with it the flow and its value would stay
+	p.waiting = p.waiting[1:]
+	return f
+}
+
+// push gives a forward to a connection that has room for it.
+func (p *Core) push(c *Conn, f *Forward, fx *Effects) {
+	f.conn, f.until = c, time.Time{}
+	c.pending, c.queue = append(c.pending, f), append(c.queue, f)
+	*fx = append(*fx, Effect{Kind: Write, Conn: c})
+}
+
+// next gives a connection without work the longest waiting forward, or makes it idle.
+func (p *Core) next(now time.Time, c *Conn, fx *Effects) {
+	switch {
+	case c.closed || len(c.pending) > 0 || c.writing != nil:
+	case p.left:
+		p.close(now, c, Broken, fx)
+	case len(p.waiting) > 0:
+		p.push(c, p.pop(), fx)
+	case !slices.Contains(p.idle, c):
+		c.idle = now
+		p.idle = append(p.idle, c)
+	}
+}
+
+// Pull is the next forward to write to a connection, of which the shell writes the bytes and then says Wrote; nil where
+// there is none. From here on it may have run. The list is looked at for the last time here, and stale says that a
+// connection on which nothing is awaited has bytes to read or has ended: an answer to a request written now could not be
+// told from such bytes, and a request written to a closed connection is lost.
+func (p *Core) Pull(now time.Time, c *Conn, stale bool, fx *Effects) *Forward {
+	if c.closed || c.writing != nil || len(c.queue) == 0 {
+		return nil
+	}
+	if stale && c.Quiet() {
+		p.close(now, c, Garbage, fx) // what was pending, unwritten, goes to another connection
+		return nil
+	}
+	f := c.queue[0]
+	c.queue[0] = nil
+	c.queue = c.queue[1:]
+	f.started, f.written = true, true
+	c.writing = f
+	return f
+}
+
+// Wrote says how the writing of a pulled forward ended: whether its last byte is out, and whether the connection is still
+// good for another.
+func (p *Core) Wrote(now time.Time, c *Conn, whole, good bool, fx *Effects) {
+	f := c.writing
+	c.writing = nil
+	if f == nil {
+		return
+	}
+	if !whole {
+		f.written = false // its last byte never left
+	}
+	switch {
+	case c.closed: // this one was left for now
+		if i := slices.Index(c.pending, f); i >= 0 {
+			c.pending = slices.Delete(c.pending, i, i+1)
+			p.settle(now, c, f, fx)
+		}
+	case !good:
+		p.close(now, c, Broken, fx)
+	default:
+		p.next(now, c, fx) // its answer may have come before
+	}
+}
+
+// Received says that the shell put so many bytes into the connection's decoder.
+func (p *Core) Received(now time.Time, c *Conn, n int, fx *Effects) {
+	c.Decoder.Took(n)
+	p.decode(now, c, false, fx)
+}
+
+// Ended says that a connection has ended, and not by the core.
+func (p *Core) Ended(now time.Time, c *Conn, fx *Effects) {
+	p.decode(now, c, true, fx)
+	p.close(now, c, Broken, fx)
+}
+
+// decode takes the answers that have come whole.
+func (p *Core) decode(now time.Time, c *Conn, ended bool, fx *Effects) {
+	for !c.closed && (c.Decoder.Buffered() > 0) {
+		if len(c.pending) == 0 || !c.pending[0].written {
+			p.close(now, c, Garbage, fx) // an answer to nothing
+			return
+		}
+		a, ok, err := c.Decoder.Next(ended)
+		if err != nil {
+			p.close(now, c, Garbage, fx)
+			return
+		}
+		if !ok {
+			return
+		}
+		p.answered(now, c, a, fx)
+	}
+}
+
+// answered gives an answer to the forward whose turn it is.
+func (p *Core) answered(now time.Time, c *Conn, a Answer, fx *Effects) {
+	f := c.pending[0]
+	if f.Flow != nil && a.End == Served && a.Value == nil {
+		p.close(now, c, Garbage, fx) // a PONG, say, serves nobody
+		return
+	}
+	c.pending[0] = nil // as in pop
+	c.pending = c.pending[1:]
+	if !f.given {
+		fx.report(f, a)
+	}
+	switch {
+	case a.Close:
+		p.close(now, c, Broken, fx)
+	case c.Decoder.Buffered() > 0 && (len(c.pending) == 0 || !c.pending[0].written):
+		p.close(now, c, Garbage, fx) // bytes behind the answer would pass for that of the next forward
+	default:
+		p.wasted(now, c, fx)
+		p.next(now, c, fx)
+	}
+}
+
+// close ends a connection and what was pending on it.
+func (p *Core) close(now time.Time, c *Conn, end End, fx *Effects) {
+	if c.closed {
+		return
+	}
+	c.closed, c.end = true, end
+	p.conns = slices.DeleteFunc(p.conns, func(o *Conn) bool { return o == c })
+	p.idle = slices.DeleteFunc(p.idle, func(o *Conn) bool { return o == c })
+	*fx = append(*fx, Effect{Kind: Shut, Conn: c})
+	if c.shared {
+		p.budget.give()
+	}
+	pending := c.pending
+	c.pending, c.queue = nil, nil
+	if c.writing != nil && slices.Contains(pending, c.writing) {
+		c.pending = []*Forward{c.writing} // whether its last byte left is known in a moment
+	}
+	p.dialMore(fx) // forwards may wait for a connection that this one's end makes room for
+	for _, f := range pending {
+		if f != c.writing {
+			p.settle(now, c, f, fx)
+		}
+	}
+}
+
+// settle ends a forward whose connection has closed, or gives it another where nothing of it was written.
+func (p *Core) settle(now time.Time, c *Conn, f *Forward, fx *Effects) {
+	f.conn = nil
+	switch {
+	case f.given:
+	case f.written:
+		fx.report(f, Answer{End: c.end})
+	case f.started:
+		fx.report(f, Answer{End: CutShort})
+	case p.left:
+		fx.report(f, Answer{End: Drained})
+	case f.moves == maxMoves:
+		fx.report(f, Answer{End: NoConnect})
+	default: // not one byte of it was written
+		f.moves++
+		if end, ok := p.place(now, f, fx); !ok {
+			fx.report(f, Answer{End: end})
+		}
+	}
+}
--- /dev/null
+++ b/internal/listener/core.go
@@ -0,0 +1,476 @@
+package listener
+
+import (
+	"bytes"
+	"errors"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"shelfproxy/internal/admission"
+	"shelfproxy/internal/counters"
+	"shelfproxy/internal/flow"
+)
+
+// Limits bound what clients may make the node hold.
+type Limits struct {
+	Conns     int           // open connections
+	Pipelined int           // commands of one connection that wait for their answers
+	Value     int           // bytes of a value
+	Write     time.Duration // a client that takes no bytes for so long is stuck
+	Owed      int           // bytes of answers to all clients together; past it stuck ones are cut off, 0 is no bound
+
+	// How long a connection with no open request may stay.
+	Silent time.Duration // with nothing said yet, or half a command: it is owed an error by 3 s on the platform
+	Crowd  time.Duration // idle, in a table that is all but full
+	Idle   time.Duration // idle otherwise
+}
+
+// Bounds of the time between two looks at connections whose time is over, and how many may go at a look.
+const (
+	soonest = 5 * time.Millisecond
+	latest  = 100 * time.Millisecond
+	atOnce  = 64
+	stuck   = 250 * time.Millisecond // without taking a byte, while too much is owed to all
+	batch   = 256 << 10              // bytes written at a time, so that what a client takes shows
+)
+
+func policy(l Limits) admission.TablePolicy {
+	p := admission.DefaultTable(l.Conns, l.Silent, l.Idle, l.Crowd)
+	p.Bytes, p.Stuck = l.Owed, stuck
+	return p
+}
+
+// EffectKind is what a core wants done.
+type EffectKind int
+
+// The kinds of effects.
+const (
+	Take  EffectKind = iota // hand Flow on; it may have to wait, and what comes after it on the connection with it
+	Gone                    // the client of Flow has left
+	Write                   // Conn has answers to write: Pull
+	Read                    // Conn may go on: Continue
+	Shut                    // close Conn
+	Room                    // there may be room for another connection
+)
+
+// Effect is one thing that a core wants done, in the order in which they come.
+type Effect struct {
+	Kind EffectKind
+	Conn *Conn
+	Flow *flow.Flow
+}
+
+// Effects collects what one call wants done. The core keeps none of it.
+type Effects []Effect
+
+func (fx *Effects) add(kind EffectKind, c *Conn, f *flow.Flow) {
+	*fx = append(*fx, Effect{kind, c, f})
+}
+
+// slot is the place of one command's answer.
+type slot struct {
+	flow  *flow.Flow // until it is answered; nil where the listener answers by itself
+	taken bool       // it was a flow
+	ready bool
+	out   []byte // a RESP prefix, or all of it
+	value []byte // between out and CRLF, not copied
+}
+
+// Conn is one client's connection, as the core and its shell share it.
+type Conn struct {
+	// Socket is the shell's.
+	Socket any
+
+	core    *Core
+	id      uint64 // in the table
+	guard   guard
+	rd      *redcon.Reader
+	slots   []*slot // in the order of their commands
+	writing int     // of them, on their way out
+	paused  bool    // as many answers are owed as may be: the rest waits
+	broken  bool    // its framing: nothing more is read
+	last    bool    // close once all that is owed is written
+	closed  bool
+}
+
+// Space is where the shell puts the next bytes, while the connection is not paused.
+func (c *Conn) Space() []byte { return c.guard.buf[:] }
+
+// Paused tells whether nothing more is to be read before the effect Read.
+func (c *Conn) Paused() bool { return c.paused }
+
+// Closed tells whether it has ended.
+func (c *Conn) Closed() bool { return c.closed }
+
+// Core decides for the connections of clients: what a command is, in which order answers go out, how many may wait, and
+// who has to go. It has no clock, no sockets and no goroutines; its calls take the time and collect what is to be done.
+// It is not safe for concurrent use.
+type Core struct {
+	// Reply is called with the final answer of a flow, by whoever gives it; the shell passes it to Answer.
+	Reply func(c *Conn, s *Slot, r flow.Response)
+
+	classes map[string]bool
+	tenants map[string]string // each under its own name: no flow holds on to the command for it
+	limits  Limits
+	count   *counters.Counters
+
+	start    time.Time
+	table    *admission.Table
+	conns    map[uint64]*Conn
+	lastID   uint64
+	turned   int64 // times that there was no place
+	draining bool
+}
+
+// Slot is the place of one command's answer, as flows know it.
+type Slot = slot
+
+// NewCore makes a core. Classes are those that there are: a request of another one is an error. One of a tenant that the
+// deployment does not name belongs to none.
+func NewCore(now time.Time, classes, tenants []string, limits Limits, count *counters.Counters) *Core {
+	l := &Core{classes: map[string]bool{}, tenants: map[string]string{}, limits: limits, count: count,
+		conns: map[uint64]*Conn{}, start: now, table: admission.NewTable(policy(limits))}
+	for _, c := range classes {
+		l.classes[c] = true
+	}
+	for _, t := range tenants {
+		l.tenants[t] = t
+	}
+	return l
+}
+
+func (l *Core) at(now time.Time) time.Duration { return now.Sub(l.start) }
+
+// Accepted takes a connection that a client opened.
+func (l *Core) Accepted(now time.Time) *Conn {
+	l.lastID++
+	c := &Conn{core: l, id: l.lastID}
+	c.rd = redcon.NewReader(&c.guard)
+	l.conns[c.id] = c
+	l.table.Open(l.at(now), c.id)
+	l.count.Accepted.Add(1)
+	return c
+}
+
+// Room tells whether one more connection may be accepted; where not, one that may go is closed for it.
+func (l *Core) Room(now time.Time, fx *Effects) bool {
+	ok, victim, found := l.table.Room(l.at(now))
+	if !ok {
+		l.turned++
+	}
+	if found {
+		l.count.Evicted.Add(1)
+		l.finish(now, l.conns[victim], fx)
+	}
+	return ok || l.draining
+}
+
+// Use is how many connections there are, and how often one more had to wait for a place.
+func (l *Core) Use() (used int, refused int64) { return l.table.Used(), l.turned }
+
+// SetPlaces changes how many connections there may be.
+func (l *Core) SetPlaces(n int, fx *Effects) {
+	l.table.SetPlaces(n)
+	fx.add(Room, nil, nil)
+}
+
+// Sweep closes the connections that the table gives up, and tells when to sweep next. Without it they would stay for good
+// and keep usual clients out.
+func (l *Core) Sweep(now time.Time, fx *Effects) (next time.Duration) {
+	at := l.at(now)
+	if l.draining {
+		return latest
+	}
+	for _, id := range l.table.Due(at, atOnce) {
+		if l.table.Stage(id) <= admission.Partial {
+			l.count.Silent.Add(1)
+		} else {
+			l.count.Idle.Add(1)
+		}
+		l.finish(now, l.conns[id], fx)
+	}
+	for id, found := l.table.Stuck(at); found; id, found = l.table.Stuck(at) {
+		l.count.Stuck.Add(1)
+		l.close(now, l.conns[id], fx) // even under a write that waits
+	}
+	fx.add(Room, nil, nil) // one that is no longer too young may go now
+	next = latest
+	if wake, ok := l.table.Wake(at); ok {
+		next = min(max(wake-at, soonest), latest)
+	}
+	return next
+}
+
+// Drain closes connections as soon as nothing is owed on them, those that come later too.
+func (l *Core) Drain(now time.Time, fx *Effects) {
+	l.draining = true
+	fx.add(Room, nil, nil)
+	for _, id := range slices.Sorted(maps.Keys(l.conns)) {
+		l.finish(now, l.conns[id], fx)
+	}
+}
+
+// finish closes a connection once all that is owed on it is written.
+func (l *Core) finish(now time.Time, c *Conn, fx *Effects) {
+	c.last = true
+	if len(c.slots) == 0 {
+		l.close(now, c, fx)
+	}
+}
+
+// Received says that the shell put so many bytes into Space.
+func (l *Core) Received(now time.Time, c *Conn, n int, fx *Effects) {
+	if c.closed {
+		return
+	}
+	c.guard.took(n)
+	l.decode(now, c, fx)
+}
+
+// Continue goes on with what a paused connection has sent already.
+func (l *Core) Continue(now time.Time, c *Conn, fx *Effects) { l.decode(now, c, fx) }
+
+// Ended says that the client ended the connection, or that it broke.
+func (l *Core) Ended(now time.Time, c *Conn, fx *Effects) { l.close(now, c, fx) }
+
+// decode takes the commands that have come whole, as long as their answers have places.
+func (l *Core) decode(now time.Time, c *Conn, fx *Effects) {
+	for c.paused = false; !c.closed; {
+		if len(c.slots) >= l.limits.Pipelined {
+			c.paused = true
+			return
+		}
+		// The reader copies each command's bytes into a buffer of the command's own, so its slices may be kept.
+		cmd, err := c.rd.ReadCommand()
+		switch {
+		case errors.Is(err, errMore):
+			if c.guard.half() {
+				l.table.Began(l.at(now), c.id)
+			}
+			return
+		case err != nil: // a broken framing still gets what is owed and one line on it
+			l.count.BadFraming.Add(1)
+			c.slots = append(c.slots, &slot{ready: true, out: redcon.AppendError(nil, "ERR "+err.Error())})
+			c.paused, c.broken = true, true
+			l.finish(now, c, fx)
+			l.wake(c, fx)
+			return
+		}
+		l.take(now, c, cmd, fx)
+	}
+}
+
+// wake has the shell write what is ready at the head of the line.
+func (l *Core) wake(c *Conn, fx *Effects) {
+	if !c.closed && c.writing == 0 && len(c.slots) > 0 && c.slots[0].ready {
+		fx.add(Write, c, nil)
+	}
+}
+
+// say answers a command without the node.
+func (l *Core) say(now time.Time, c *Conn, kind admission.Command, out []byte, fx *Effects) {
+	l.table.Asked(l.at(now), c.id, kind)
+	c.slots = append(c.slots, &slot{ready: true, out: out})
+	l.wake(c, fx)
+}
+
+// complain answers a command that makes no sense.
+func (l *Core) complain(now time.Time, c *Conn, text string, fx *Effects) {
+	l.count.Malformed.Add(1)
+	l.say(now, c, admission.Senseless, redcon.AppendError(nil, "ERR "+text), fx)
+}
+
+func (l *Core) take(now time.Time, c *Conn, cmd redcon.Command, fx *Effects) {
+	name := cmd.Args[0]
+	switch {
+	case is(name, "CACHE.GET"), is(name, "CACHE.SET"):
+		f, err := l.parse(now, cmd)
+		if err != nil {
+			l.complain(now, c, err.Error(), fx)
+			return
+		}
+		f.Conn = c.id
+		s := &slot{flow: f, taken: true}
+		f.Reply = func(r flow.Response) { l.Reply(c, s, r) }
+		l.table.Asked(l.at(now), c.id, admission.Request)
+		c.slots = append(c.slots, s)
+		fx.add(Take, c, f)
+	case is(name, "PING") && len(cmd.Args) == 1:
+		l.say(now, c, admission.Other, redcon.AppendString(nil, "PONG"), fx)
+	case is(name, "PING") && len(cmd.Args) == 2:
+		l.say(now, c, admission.Other, redcon.AppendBulk(nil, cmd.Args[1]), fx)
+	case is(name, "INFO"):
+		l.say(now, c, admission.Other, redcon.AppendBulkString(nil, l.count.String()), fx)
+	case is(name, "CLIENT"), is(name, "SELECT"):
+		l.say(now, c, admission.Other, redcon.AppendOK(nil), fx)
+	case is(name, "QUIT"):
+		l.say(now, c, admission.Other, redcon.AppendOK(nil), fx)
+		l.finish(now, c, fx)
+	default:
+		l.complain(now, c, "unknown command", fx)
+	}
+}
+
+func is(name []byte, word string) bool { return bytes.EqualFold(name, []byte(word)) }
+
+// parse makes a flow of a command, or says what is wrong with it.
+func (l *Core) parse(now time.Time, cmd redcon.Command) (*flow.Flow, error) {
+	f := &flow.Flow{Taken: now, Write: is(cmd.Args[0], "CACHE.SET")}
+	want := 4
+	if f.Write {
+		want = 5
+	}
+	if len(cmd.Args) != want {
+		return nil, errors.New("wrong number of arguments for '" + string(cmd.Args[0]) + "'")
+	}
+	f.Key, f.ID, f.Extras = cmd.Args[1], cmd.Args[2], cmd.Args[3]
+	if f.Write {
+		f.Value = cmd.Args[4]
+	}
+	switch {
+	case len(f.Key) == 0 || len(f.Key) > maxName || bytes.ContainsFunc(f.Key, unprintable):
+		return nil, errors.New("bad key")
+	case len(f.ID) == 0 || len(f.ID) > maxName || bytes.ContainsFunc(f.ID, unprintable):
+		return nil, errors.New("bad request id")
+	case len(f.Extras) > maxExtras || bytes.ContainsFunc(f.Extras, unprintable):
+		return nil, errors.New("bad list of names and values")
+	case len(f.Value) > l.limits.Value:
+		return nil, errors.New("value is too large")
+	}
+	for rest := f.Extras; len(rest) > 0; {
+		var pair []byte
+		pair, rest, _ = bytes.Cut(rest, []byte{','})
+		name, value, ok := bytes.Cut(pair, []byte{'='})
+		if !ok {
+			return nil, errors.New("bad list of names and values")
+		}
+		switch string(name) {
+		case "c":
+			f.Class = string(value)
+		case "t":
+			f.Tenant = l.tenants[string(value)]
+		case "d":
+			ms, err := strconv.Atoi(string(value))
+			if err != nil || ms <= 0 || ms > maxWait {
+				return nil, errors.New("bad d")
+			}
+			f.Wait = time.Duration(ms) * time.Millisecond
+		}
+	}
+	switch {
+	case f.Wait == 0:
+		return nil, errors.New("d is missing")
+	case !l.classes[f.Class]:
+		return nil, errors.New("unknown class")
+	}
+	return f, nil
+}
+
+const (
+	maxName   = 512
+	maxExtras = 1 << 10
+	maxWait   = 3600 * 1000 // milliseconds
+)
+
+// unprintable keeps spaces and control characters out of what is passed on as a line of a header.
+func unprintable(r rune) bool { return r <= ' ' || r >= 0x7f }
+
+// Answer fills the place of a flow's answer; it goes out in its turn.
+func (l *Core) Answer(now time.Time, c *Conn, s *Slot, r flow.Response, fx *Effects) {
+	if c.closed || s.ready {
+		return
+	}
+	switch r.Kind {
+	case flow.Served:
+		s.out = append(strconv.AppendInt([]byte{'$'}, int64(len(r.Value)), 10), "\r\n"...)
+		s.value = r.Value
+	case flow.Refused:
+		s.out = []byte("-BUSY\r\n")
+		if ms := r.RetryAfter.Milliseconds(); ms > 0 {
+			s.out = redcon.AppendError(nil, "BUSY "+strconv.FormatInt(ms, 10))
+		}
+	case flow.Failed:
+		s.out = []byte("-ERR failed\r\n")
+	case flow.Invalid:
+		s.out = redcon.AppendError(nil, "ERR "+r.Text)
+	}
+	l.table.Owes(l.at(now), c.id, len(s.out)+len(s.value))
+	s.ready = true
+	s.flow = nil // else the command's buffer, with its value, would stay until the answers before this one are written
+	l.wake(c, fx)
+}
+
+var crlf = []byte("\r\n")
+
+// Pull is the answers to write next, appended to out, and their bytes; the shell writes them and says Wrote. There are none
+// while others are on their way.
+func (l *Core) Pull(c *Conn, out [][]byte) (answers [][]byte, size int) {
+	if c.closed || c.writing > 0 {
+		return out, 0
+	}
+	n := 0
+	for ; n < len(c.slots) && c.slots[n].ready && size < batch; n++ {
+		s := c.slots[n]
+		size += len(s.out) + len(s.value)
+		out = append(out, s.out)
+		if s.value != nil {
+			out = append(out, s.value, crlf)
+		}
+	}
+	c.writing = n
+	return out, size
+}
+
+// Wrote says that what was pulled is written, or that it could not be.
+func (l *Core) Wrote(now time.Time, c *Conn, good bool, fx *Effects) {
+	n := c.writing
+	c.writing = 0
+	if c.closed || n == 0 {
+		return
+	}
+	if !good {
+		l.count.WriteFailed.Add(1)
+		l.close(now, c, fx)
+		return
+	}
+	// Only now are these answers no longer owed: a connection with slots is not closed as idle.
+	owed := 0
+	for _, s := range c.slots[:n] {
+		if s.taken {
+			owed += len(s.out) + len(s.value)
+		}
+	}
+	c.slots = append(c.slots[:0:0], c.slots[n:]...)
+	l.table.Owes(l.at(now), c.id, -owed)
+	l.table.Answered(l.at(now), c.id, n)
+	switch {
+	case c.last && len(c.slots) == 0:
+		l.close(now, c, fx)
+		return
+	case c.paused && !c.broken:
+		fx.add(Read, c, nil)
+	}
+	l.wake(c, fx)
+}
+
+// close ends a connection; flows that still wait for their answers have lost their client.
+func (l *Core) close(now time.Time, c *Conn, fx *Effects) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	delete(l.conns, c.id)
+	l.table.Gone(l.at(now), c.id)
+	fx.add(Shut, c, nil)
+	for _, s := range c.slots {
+		if s.flow != nil && !s.ready {
+			fx.add(Gone, c, s.flow)
+		}
+	}
+	c.slots = nil
+	fx.add(Room, nil, nil)
+}
--- a/internal/listener/guard.go
+++ b/internal/listener/guard.go
@@ -1,10 +1,6 @@
 package listener
 
-import (
-	"errors"
-	"io"
-	"strings"
-)
+import "errors"
 
 // Bounds of one command, past which its framing counts as broken. A value somewhat over the largest is still
 // read whole, so that the client gets an answer on it.
@@ -20,12 +16,14 @@
 	errFraming  = errors.New("Protocol error: expected an array of bulk strings")
 )
 
+// errMore says that all bytes that came have been handed over.
+var errMore = errors.New("more bytes are wanted")
+
 // guard follows the framing of what redcon's reader will see and ends the stream before the byte that breaks it.
 // redcon's own check drops the good commands that came in the same read as a broken one; a count near the largest
 // integer makes it loop for ever, such a length of a bulk string makes it panic, and a command without an end
-// makes its buffer grow without one.
+// makes its buffer grow without one. It is a reader that never waits: out of bytes it says errMore.
 type guard struct {
-	rd      io.Reader
 	err     error
 	state   int
 	bulk    bool // the line in hand gives the length of a bulk string, not a count of them
@@ -35,7 +33,6 @@
 	size    int           // bytes of the command so far
 	buf     [4 << 10]byte // read and not yet handed over: buf[at:end]
 	at, end int
-	half    func() // called when more is waited for with half a command in hand; may be nil
 }
 
 // What the guard expects next.
@@ -48,6 +45,12 @@
 	bulkLF
 )
 
+// took says that so many bytes were put into buf, after all before were handed over.
+func (g *guard) took(n int) { g.at, g.end = 0, n }
+
+// half tells whether it has half a command in hand.
+func (g *guard) half() bool { return g.state != atStart || g.args > 0 }
+
 // Read hands over no more than the rest of the command in hand. redcon's reader starts its buffer anew only when all
 // in it has been taken: with half a command at the end of each read it would double, over and over, up to all that a
 // client ever sent.
@@ -56,21 +59,7 @@
 		return 0, g.err
 	}
 	if g.at == g.end {
-		if g.half != nil && (g.state != atStart || g.args > 0) {
-			g.half()
-		}
-		if g.state == inBulk && g.n >= len(g.buf) { // the middle of a large value needs no look
-			n, err := g.rd.Read(b[:min(len(b), g.n)])
-			if g.n -= n; g.n == 0 {
-				g.state = bulkCR
-			}
-			return n, err
-		}
-		n, err := g.rd.Read(g.buf[:])
-		if n == 0 {
-			return 0, err
-		}
-		g.at, g.end = 0, n // an error that came with bytes comes again without
+		return 0, errMore
 	}
 	in := g.buf[g.at:min(g.end, g.at+len(b))]
 	n := 0
@@ -157,11 +146,3 @@
 	}
 	return nil
 }
-
-// protocolError is what to tell a client whose framing is broken; empty for an error of the connection.
-func protocolError(err error) string {
-	if text := err.Error(); strings.HasPrefix(text, "Protocol error") {
-		return text
-	}
-	return ""
-}
--- a/internal/listener/guard_fuzz_test.go
+++ b/internal/listener/guard_fuzz_test.go
@@ -14,7 +14,7 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		rd := redcon.NewReader(&guard{rd: bytes.NewReader(b)})
+		rd := redcon.NewReader(pump{&guard{}, bytes.NewReader(b)})
 		for range len(b) + 1 {
 			if cmd, err := rd.ReadCommand(); err != nil {
 				return
--- a/internal/listener/guard_test.go
+++ b/internal/listener/guard_test.go
@@ -10,6 +10,25 @@
 	"github.com/tidwall/redcon"
 )
 
+// pump reads through a guard, and gives it more whenever it wants more.
+type pump struct {
+	*guard
+	from io.Reader
+}
+
+func (p pump) Read(b []byte) (int, error) {
+	for {
+		n, err := p.guard.Read(b)
+		if err != errMore {
+			return n, err
+		}
+		if n, err = p.from.Read(p.buf[:]); n == 0 {
+			return 0, err
+		}
+		p.took(n)
+	}
+}
+
 // rooms notes the largest buffer that it was asked to fill: redcon's reader passes what is left of its own.
 type rooms struct {
 	rd   io.Reader
@@ -32,7 +51,7 @@
 			for i := range count {
 				sent.Write(redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), fmt.Sprint(i)), value[:size-i%61]))
 			}
-			r := &rooms{rd: &guard{rd: &sent}}
+			r := &rooms{rd: pump{&guard{}, &sent}}
 			rd := redcon.NewReader(r)
 			for i := range count {
 				cmd, err := rd.ReadCommand()
--- /dev/null
+++ b/internal/node/core.go
@@ -0,0 +1,499 @@
+package node
+
+import (
+	"container/heap"
+	"maps"
+	"reflect"
+	"slices"
+	"time"
+
+	"shelfproxy/brain"
+	"shelfproxy/internal/admission"
+	"shelfproxy/internal/discovery"
+	"shelfproxy/internal/flow"
+	"shelfproxy/internal/forward"
+	"shelfproxy/internal/logs"
+)
+
+const (
+	transit      = 2 * time.Millisecond // a request's time runs from its sending; it is read a little later
+	overdue      = 5 * time.Millisecond // after a deadline by which the module should have answered
+	probeTimeout = 500 * time.Millisecond
+)
+
+// Owner is what a core asks of whoever owns it.
+type Owner struct {
+	Now func() time.Time // the clock; it must not go back
+	// Report takes the end of a forward from a pool, and has Landed called with it, not before the pool's call is over.
+	Report func(*forward.Forward, forward.Answer)
+	// List has f called soon, before anything else that waits: a send decided on after a change must know of it.
+	List func(f func())
+}
+
+// Core owns the module and everything it decides on: flows, their deadlines, what is out for each, and the list. It has
+// no clock, goroutines or sockets of its own, and is not safe for concurrent use.
+type Core struct {
+	opt     Options
+	own     Owner
+	router  *brain.Router
+	start   time.Time // the module's clock is Unix time at the start, monotonic from there on
+	timers  timers
+	booked  uint64
+	backlog []brain.Event // outcomes of actions that ended at once
+
+	classes map[string]int
+	flows   map[uint64]*state
+	byFlow  map[*flow.Flow]*state
+	ids     map[string]bool // of flows that are owed an answer
+	nextID  uint64
+	servers map[string]*server
+	open    int
+	taken   admission.Held
+	lastAt  time.Time // when set, no flow is answered later
+	closing bool
+	idle    chan struct{} // closed when nothing is owed any more
+	level   float64       // of strain, as the module was told
+
+	stopWatch func()
+	watch     int // number of the current watch; reports of earlier ones are dropped
+	healthy   bool
+	held      discovery.Guard
+}
+
+// state is a flow as the node keeps it until nothing of it is out.
+type state struct {
+	*flow.Flow
+	id       uint64
+	class    int
+	forwards []*forward.Forward // nil once it has ended
+	out      int
+	answered bool
+	deadline time.Time
+	expiry   *timed
+	counted  bool // in Node.taken
+}
+
+type server struct {
+	discovery.Server
+	up     Upstream
+	out    int // forwards
+	probes []*forward.Forward
+}
+
+// NewCore makes a core. Begin is its first call.
+func NewCore(opt Options, own Owner) (*Core, error) {
+	router, err := brain.New(opt.Module, opt.Seed)
+	if err != nil {
+		return nil, err
+	}
+	n := &Core{opt: opt, own: own, router: router, idle: make(chan struct{}), start: own.Now(), classes: map[string]int{},
+		flows: map[uint64]*state{}, byFlow: map[*flow.Flow]*state{}, ids: map[string]bool{}, servers: map[string]*server{}}
+	n.taken.Limit = opt.MaxHeld
+	for i, c := range opt.Module.Classes {
+		n.classes[c.Name] = i
+	}
+	return n, nil
+}
+
+// Begin takes the list that is known and, where lists are pushed, begins to follow them.
+func (n *Core) Begin() {
+	n.held.Held(n.opt.Known.Version)
+	n.list(n.opt.Known, brain.Cached)
+	if n.pushed() {
+		n.subscribe()
+	}
+	n.settle()
+}
+
+// End stops the watch.
+func (n *Core) End() {
+	if n.stopWatch != nil {
+		n.stopWatch()
+	}
+}
+
+// Tell gives the module an event that comes from outside.
+func (n *Core) Tell(ev brain.Event) {
+	n.tell(ev)
+	n.settle()
+}
+
+// Idle is closed when a core that drains owes nothing any more.
+func (n *Core) Idle() <-chan struct{} { return n.idle }
+
+// Drain makes the core answer everything it has taken by a time.
+func (n *Core) Drain(by time.Time) {
+	n.closing, n.lastAt = true, by
+	for _, id := range slices.Sorted(maps.Keys(n.flows)) {
+		s := n.flows[id]
+		n.at(by, func() { n.expire(s) })
+	}
+	n.checkIdle()
+}
+
+// Open is how many flows are owed an answer.
+func (n *Core) Open() int { return n.open }
+
+// Held is how much the core still holds: flows, of which some are answered and still out, request ids and timers. It is
+// nothing but the module's own timer when nothing is out.
+func (n *Core) Held() (flows, ids, timers int) { return len(n.flows), len(n.ids), len(n.timers) }
+
+// Next is when Due is wanted next.
+func (n *Core) Next() (at time.Time, ok bool) {
+	if len(n.timers) == 0 {
+		return time.Time{}, false
+	}
+	return n.timers[0].at, true
+}
+
+// Due does what is due by now.
+func (n *Core) Due() {
+	now := n.own.Now()
+	for len(n.timers) > 0 && !n.timers[0].at.After(now) {
+		heap.Pop(&n.timers).(*timed).run()
+		n.settle()
+	}
+}
+
+// Strain tells the module what share to refuse of what it may, where that changed.
+func (n *Core) Strain(level float64) {
+	if d := level - n.level; d >= strainStep || d <= -strainStep || d != 0 && level == 0 {
+		n.level = level
+		n.Tell(brain.Strain{Level: level})
+	}
+}
+
+// moduleTime converts a time of the system's clock to the module's.
+func (n *Core) moduleTime(t time.Time) brain.Time {
+	return time.Duration(n.start.UnixNano()) + t.Sub(n.start)
+}
+
+func (n *Core) systemTime(t brain.Time) time.Time {
+	return n.start.Add(t - time.Duration(n.start.UnixNano()))
+}
+
+// tell gives the module an event and carries out its actions.
+func (n *Core) tell(ev brain.Event) {
+	for _, a := range n.router.Handle(n.moduleTime(n.own.Now()), ev) {
+		n.do(a)
+	}
+}
+
+// settle tells the module what its own actions brought about at once.
+func (n *Core) settle() {
+	for len(n.backlog) > 0 {
+		ev := n.backlog[0]
+		n.backlog = n.backlog[1:]
+		if out, ok := ev.(brain.Outcome); ok {
+			s := n.flows[out.ID]
+			out.Ended = s == nil || s.answered
+			ev = out
+			n.tell(ev)
+			n.forget(s)
+			continue
+		}
+		n.tell(ev)
+	}
+}
+
+func (n *Core) do(a brain.Action) {
+	switch a := a.(type) {
+	case brain.Send:
+		n.send(a)
+	case brain.Refuse:
+		n.answer(n.flows[a.ID], flow.Response{Kind: flow.Refused, RetryAfter: a.RetryAfter})
+	case brain.Fail:
+		n.answer(n.flows[a.ID], flow.Response{Kind: flow.Failed})
+	case brain.Cancel:
+		if s := n.flows[a.ID]; s != nil && a.Attempt < len(s.forwards) && s.forwards[a.Attempt] != nil {
+			n.giveUp(s, s.forwards[a.Attempt], forward.Cancelled)
+		}
+	case brain.Probe:
+		n.probe(a.Server)
+	case brain.Close:
+		if s := n.servers[a.Server]; s != nil {
+			s.up.CloseIdle()
+		}
+	case brain.SetTimer:
+		n.at(n.systemTime(a.At), func() { n.tell(brain.Timer{Token: a.Token}) })
+	case brain.Subscribe:
+		n.subscribe()
+	case brain.Tell:
+		if n.opt.Tell == nil {
+			return
+		}
+		if err := n.opt.Tell(a.Data); err != nil {
+			n.opt.Count.PeersDropped.Add(1)
+		} else {
+			n.opt.Count.PeersTold.Add(1)
+		}
+	case brain.Spread:
+		if n.opt.Spread != nil {
+			n.opt.Spread(a.Duty)
+		}
+	case brain.Log:
+		n.opt.Log.Info(a.Text, logs.Event, "module")
+	default:
+		n.opt.Log.Error("the module asked for what this node does not know", logs.Event, "action_unknown", "action", reflect.TypeOf(a).String())
+	}
+}
+
+// Take takes a request. One whose client has left already is none.
+func (n *Core) Take(f *flow.Flow) {
+	if f.Left { // while it waited
+		return
+	}
+	n.take(f)
+	n.settle()
+}
+
+func (n *Core) take(f *flow.Flow) {
+	class := n.classes[f.Class]
+	if n.ids[string(f.ID)] {
+		n.opt.Count.Duplicate.Add(1)
+		f.Reply(flow.Response{Kind: flow.Invalid, Text: "request id is in use"})
+		return
+	}
+	n.opt.Count.In(class)
+	n.nextID++
+	wait := f.Wait
+	if n.opt.MaxWait > 0 {
+		wait = min(wait, n.opt.MaxWait)
+	}
+	s := &state{Flow: f, id: n.nextID, class: class, deadline: f.Taken.Add(max(wait-transit, time.Millisecond))}
+	n.flows[s.id], n.byFlow[f], n.ids[string(f.ID)] = s, s, true
+	n.open++
+	s.counted = n.taken.Take(len(f.Value), f.Write)
+	if !s.counted {
+		n.opt.Count.NoMemory.Add(1)
+	}
+	if n.open > n.opt.MaxOpen || !s.counted { // nothing of it has run
+		n.answer(s, flow.Response{Kind: flow.Refused})
+		return
+	}
+	if n.closing && s.deadline.After(n.lastAt) {
+		s.deadline = n.lastAt
+	}
+	s.expiry = n.at(s.deadline, func() { n.expire(s) })
+	n.tell(brain.Request{ID: s.id, Key: string(f.Key), Class: f.Class, Tenant: f.Tenant,
+		Deadline: n.moduleTime(s.deadline), Write: f.Write})
+}
+
+// Gone says that the client of a flow that is owed an answer has left.
+func (n *Core) Gone(f *flow.Flow) {
+	n.gone(f)
+	n.settle()
+}
+
+func (n *Core) gone(f *flow.Flow) {
+	f.Left = true
+	if s := n.byFlow[f]; s != nil && !s.answered {
+		n.opt.Count.Gone.Add(1)
+		n.over(s)
+		n.tell(brain.Gone{ID: s.id})
+		n.forget(s)
+	}
+}
+
+// over notes that nothing is owed for a flow any more.
+func (n *Core) over(s *state) {
+	s.answered = true
+	if s.counted {
+		n.taken.Give(len(s.Value))
+	}
+	delete(n.ids, string(s.ID))
+	n.open--
+	n.checkIdle()
+}
+
+func (n *Core) checkIdle() {
+	if n.closing && n.open == 0 {
+		select {
+		case <-n.idle:
+		default:
+			close(n.idle)
+		}
+	}
+}
+
+// answer gives the one final answer of a flow.
+func (n *Core) answer(s *state, r flow.Response) {
+	if s == nil || s.answered {
+		return
+	}
+	n.opt.Count.Answered(s.class, int(r.Kind))
+	if r.Kind == flow.Served && n.own.Now().Sub(s.Taken) > n.opt.Module.Classes[s.class].Aim {
+		n.opt.Count.Slow.Add(1)
+	}
+	s.Reply(r)
+	n.over(s)
+	n.forget(s)
+}
+
+// forget drops a flow when it has been answered and nothing of it is out.
+func (n *Core) forget(s *state) {
+	if s != nil && s.answered && s.out == 0 {
+		delete(n.flows, s.id)
+		delete(n.byFlow, s.Flow)
+		n.drop(s.expiry)
+	}
+}
+
+// expire ends what is out for a flow at its deadline: the module learns of each time-out and gives the answer.
+func (n *Core) expire(s *state) {
+	for _, f := range s.forwards {
+		if f != nil {
+			n.giveUp(s, f, forward.TimedOut)
+		}
+	}
+	n.settle()
+	if !s.answered {
+		// The module's own timer may be due a moment later. After that the flow is answered without it; what
+		// may have run must not be refused, and a failure promises nothing.
+		n.at(n.own.Now().Add(overdue), func() {
+			if !s.answered {
+				n.answer(s, flow.Response{Kind: flow.Failed})
+				n.tell(brain.Gone{ID: s.id})
+			}
+		})
+	}
+}
+
+func (n *Core) send(a brain.Send) {
+	s, srv := n.flows[a.ID], n.servers[a.Server]
+	if s == nil {
+		return
+	}
+	f := &forward.Forward{Flow: s.Flow, Attempt: len(s.forwards), Server: a.Server, Sent: n.own.Now(),
+		Deadline: s.deadline, Fresh: n.opt.Module.Classes[s.class].Effect == brain.Unsafe}
+	s.forwards = append(s.forwards, f)
+	s.out++
+	n.opt.Count.Sent(s.class)
+	end, ok := forward.NotSent, false
+	if srv != nil && !s.answered && n.own.Now().Before(s.deadline) {
+		end, ok = srv.up.Send(f)
+	}
+	if srv != nil {
+		srv.out++
+	}
+	if !ok {
+		n.ended(s, f, end)
+	}
+}
+
+// giveUp ends a forward from the node's side.
+func (n *Core) giveUp(s *state, f *forward.Forward, end forward.End) {
+	if srv := n.servers[f.Server]; srv != nil && !srv.up.Abandon(f) && end == forward.TimedOut {
+		end = forward.NotSent // it waited for a connection all the time
+	}
+	n.ended(s, f, end)
+}
+
+// ended queues the outcome of a forward; settle tells it.
+func (n *Core) ended(s *state, f *forward.Forward, end forward.End) {
+	s.forwards[f.Attempt] = nil
+	s.out--
+	if srv := n.servers[f.Server]; srv != nil {
+		srv.out--
+	}
+	n.opt.Count.Ended(s.class, int(end))
+	n.backlog = append(n.backlog, brain.Outcome{ID: s.id, Attempt: f.Attempt, Server: f.Server,
+		Reason: end.Reason(), Took: n.own.Now().Sub(f.Sent)})
+}
+
+// reported takes the answer of a pool.
+func (n *Core) reported(f *forward.Forward, a forward.Answer) {
+	s := n.byFlow[f.Flow]
+	if s == nil || f.Attempt >= len(s.forwards) || s.forwards[f.Attempt] != f {
+		n.opt.Count.Late.Add(1) // given up before
+		return
+	}
+	if a.End == forward.Served {
+		n.answer(s, flow.Response{Kind: flow.Served, Value: a.Value})
+	}
+	n.ended(s, f, a.End)
+}
+
+func (n *Core) probe(id string) {
+	srv := n.servers[id]
+	if srv == nil {
+		return
+	}
+	n.opt.Count.Probes.Add(1)
+	now := n.own.Now()
+	f := &forward.Forward{Server: id, Sent: now, Deadline: now.Add(probeTimeout)}
+	srv.probes = append(srv.probes, f)
+	if end, ok := srv.up.Send(f); !ok {
+		n.probed(srv, f, end)
+		return
+	}
+	n.at(f.Deadline, func() {
+		if n.probed(srv, f, forward.TimedOut) {
+			srv.up.Abandon(f)
+			srv.up.CloseIdle() // to a machine that is cut off they would stay open and silent
+		}
+	})
+}
+
+// probed queues the result of a probe, unless it is known already.
+func (n *Core) probed(srv *server, f *forward.Forward, end forward.End) bool {
+	for i, p := range srv.probes {
+		if p == f {
+			srv.probes = append(srv.probes[:i], srv.probes[i+1:]...)
+			n.backlog = append(n.backlog, brain.Probed{Server: f.Server, Reason: end.Reason()})
+			return true
+		}
+	}
+	return false
+}
+
+// timed is work that is due at a time.
+type timed struct {
+	at     time.Time
+	number uint64 // of two that are due at once the one booked first goes first
+	run    func()
+	index  int // in the heap; -1 when it is no longer there
+}
+
+func (n *Core) at(t time.Time, run func()) *timed {
+	n.booked++
+	w := &timed{at: t, number: n.booked, run: run}
+	heap.Push(&n.timers, w)
+	return w
+}
+
+// drop takes work back, so that what it refers to is not held until it is due.
+func (n *Core) drop(w *timed) {
+	if w != nil && w.index >= 0 {
+		heap.Remove(&n.timers, w.index)
+	}
+}
+
+type timers []*timed
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	if c := t[i].at.Compare(t[j].at); c != 0 {
+		return c < 0
+	}
+	return t[i].number < t[j].number
+}
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].index, t[j].index = i, j
+}
+
+func (t *timers) Push(x any) {
+	w := x.(*timed)
+	w.index = len(*t)
+	*t = append(*t, w)
+}
+
+func (t *timers) Pop() any {
+	end := len(*t) - 1
+	w := (*t)[end]
+	(*t)[end] = nil
+	*t = (*t)[:end]
+	w.index = -1
+	return w
+}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"shelfproxy/brain"
 	"shelfproxy/internal/admission"
 	"shelfproxy/internal/flow"
 )
@@ -28,9 +27,9 @@
 	closed bool
 	ready  chan struct{} // holds one word while something waits
 
+	start  time.Time
 	behind admission.Sojourn // the loop's
 	memory float64           // share of what may be refused that should be, for want of memory
-	level  float64           // as the module was told
 }
 
 type arrival struct {
@@ -39,7 +38,7 @@
 }
 
 func newIntake() intake {
-	return intake{queue: admission.Intake[arrival]{Quantum: quantum, Line: lineLength}, ready: make(chan struct{}, 1),
+	return intake{queue: admission.Intake[arrival]{Quantum: quantum, Line: lineLength}, ready: make(chan struct{}, 1), start: time.Now(),
 		behind: admission.Sojourn{Target: waitTarget, Interval: waitSpan}}
 }
 
@@ -81,10 +80,7 @@
 			return
 		}
 		n.strain(a.at)
-		if !a.Left { // its client left while it waited here
-			n.take(a.Flow)
-		}
-		n.settle()
+		n.core.Take(a.Flow)
 		if i == atOnce && more {
 			in.wake()
 			return
@@ -96,23 +92,14 @@
 func (n *Node) strain(since time.Time) {
 	in := &n.in
 	now := time.Now()
-	in.behind.Observe(now.Sub(n.start), now.Sub(since))
-	n.level(max(in.behind.Level(now.Sub(n.start)), in.memory))
+	in.behind.Observe(now.Sub(in.start), now.Sub(since))
+	n.core.Strain(max(in.behind.Level(now.Sub(in.start)), in.memory))
 }
 
 // Pressure tells the loop how short the node is of memory, from 0 to 1.
 func (n *Node) Pressure(level float64) {
 	n.post(n.queue, func() {
 		n.in.memory = level
-		n.level(max(n.in.behind.Level(time.Since(n.start)), level))
+		n.core.Strain(max(n.in.behind.Level(time.Since(n.in.start)), level))
 	})
 }
-
-// level tells the module what share to refuse, where it changed.
-func (n *Node) level(level float64) {
-	in := &n.in
-	if d := level - in.level; d >= strainStep || d <= -strainStep || d != 0 && level == 0 {
-		in.level = level
-		n.tell(brain.Strain{Level: level})
-	}
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,20 +1,17 @@
-// Package node is the loop that owns the decision module. Listeners, pools and discovery reach it through its
-// queue only, and it never waits on any of them.
+// Package node owns the decision module and all that it decides on. Core does, without a clock, goroutines or sockets of its
+// own; Node is the loop round it. Listeners, pools and discovery reach the loop through its queues only, and it never waits on
+// any of them.
 package node
 
 import (
-	"container/heap"
 	"log/slog"
-	"reflect"
 	"time"
 
 	"shelfproxy/brain"
-	"shelfproxy/internal/admission"
 	"shelfproxy/internal/counters"
 	"shelfproxy/internal/discovery"
 	"shelfproxy/internal/flow"
 	"shelfproxy/internal/forward"
-	"shelfproxy/internal/logs"
 )
 
 // Upstream carries forwards to one server; forward.Pool is one.
@@ -41,79 +38,27 @@
 	Log      *slog.Logger
 }
 
-const (
-	queueLength  = 4096
-	transit      = 2 * time.Millisecond // a request's time runs from its sending; it is read a little later
-	overdue      = 5 * time.Millisecond // after a deadline by which the module should have answered
-	probeTimeout = 500 * time.Millisecond
-)
+const queueLength = 4096
 
-// Node owns the module and everything it decides on. All its fields but the queues belong to the loop.
+// Node is the loop that owns a core.
 type Node struct {
-	opt     Options
-	router  *brain.Router
+	core    *Core
+	count   *counters.Counters
 	in      intake
 	queue   chan func()
 	lists   chan func() // served before the queue: a send decided on after a change must know of it
 	stopped chan struct{}
-
-	start   time.Time // the module's clock is Unix time at the start, monotonic from there on
-	timers  timers
-	backlog []brain.Event // outcomes of actions that ended at once
-
-	classes map[string]int
-	flows   map[uint64]*state
-	byFlow  map[*flow.Flow]*state
-	ids     map[string]bool // of flows that are owed an answer
-	nextID  uint64
-	servers map[string]*server
-	open    int
-	taken   admission.Held
-	lastAt  time.Time // when set, no flow is answered later
-	closing bool
-	idle    chan struct{} // closed when nothing is owed any more
-
-	stopWatch func()
-	watch     int // number of the current watch; reports of earlier ones are dropped
-	healthy   bool
-	held      discovery.Guard
-}
-
-// state is a flow as the node keeps it until nothing of it is out.
-type state struct {
-	*flow.Flow
-	id       uint64
-	class    int
-	forwards []*forward.Forward // nil once it has ended
-	out      int
-	answered bool
-	deadline time.Time
-	expiry   *timed
-	counted  bool // in Node.taken
-}
-
-type server struct {
-	discovery.Server
-	up     Upstream
-	out    int // forwards
-	probes []*forward.Forward
 }
 
 // New makes a node. It serves once Run is called.
 func New(opt Options) (*Node, error) {
-	router, err := brain.New(opt.Module, opt.Seed)
-	if err != nil {
-		return nil, err
-	}
-	n := &Node{opt: opt, router: router, in: newIntake(), queue: make(chan func(), queueLength), lists: make(chan func(), 16),
-		stopped: make(chan struct{}), idle: make(chan struct{}), start: time.Now(), classes: map[string]int{},
-		flows: map[uint64]*state{}, byFlow: map[*flow.Flow]*state{}, ids: map[string]bool{}, servers: map[string]*server{}}
+	n := &Node{count: opt.Count, in: newIntake(), queue: make(chan func(), queueLength), lists: make(chan func(), 16), stopped: make(chan struct{})}
 	n.in.room.L = &n.in.mu
-	n.taken.Limit = opt.MaxHeld
-	for i, c := range opt.Module.Classes {
-		n.classes[c.Name] = i
-	}
-	return n, nil
+	var err error
+	n.core, err = NewCore(opt, Owner{Now: time.Now,
+		Report: func(f *forward.Forward, a forward.Answer) { n.post(n.queue, func() { n.core.Landed(f, a) }) },
+		List:   func(f func()) { n.post(n.lists, f) }})
+	return n, err
 }
 
 // post hands work to the loop and waits while the queue is full.
@@ -125,49 +70,42 @@
 }
 
 // Gone is called by listeners when the client of a flow that is owed an answer has left.
-func (n *Node) Gone(f *flow.Flow) { n.post(n.queue, func() { n.gone(f) }) }
+func (n *Node) Gone(f *flow.Flow) { n.post(n.queue, func() { n.core.Gone(f) }) }
 
-// Heard hands over a datagram of another node. While the loop is behind they are dropped: requests go first.
-func (n *Node) Heard(from int, data []byte) {
-	n.opt.Count.PeersHeard.Add(1)
+// offer hands work to the loop, or counts it as lost while the loop is behind: requests go first.
+func (n *Node) offer(f func()) {
 	select {
-	case n.queue <- func() { n.tell(brain.Heard{From: from, Data: data}) }:
+	case n.queue <- f:
 	default:
-		n.opt.Count.PeersDropped.Add(1)
+		n.count.PeersDropped.Add(1)
 	}
 }
 
-// Duty tells the module of a duty: who has it, or what its holder told all. It never waits; the next news brings what was
-// lost.
-func (n *Node) Duty(ev brain.Event) {
-	select {
-	case n.queue <- func() { n.tell(ev) }:
-	default:
-		n.opt.Count.PeersDropped.Add(1)
-	}
+// Heard hands over a datagram of another node.
+func (n *Node) Heard(from int, data []byte) {
+	n.count.PeersHeard.Add(1)
+	n.offer(func() { n.core.Tell(brain.Heard{From: from, Data: data}) })
+}
+
+// Duty tells the module of a duty: who has it, or what its holder told all. What is lost comes again with the next news.
+func (n *Node) Duty(ev brain.Event) { n.offer(func() { n.core.Tell(ev) }) }
+
+// Follow moves the watch to another source; see Core.Follow.
+func (n *Node) Follow(source discovery.Source) {
+	n.post(n.lists, func() { n.core.Follow(source) })
 }
 
 // Drain makes the node answer everything it has taken by a time. The channel is closed when that is done.
 func (n *Node) Drain(by time.Time) <-chan struct{} {
-	n.post(n.queue, func() {
-		n.closing, n.lastAt = true, by
-		for _, s := range n.flows {
-			n.at(by, func() { n.expire(s) })
-		}
-		n.checkIdle()
-	})
-	return n.idle
+	n.post(n.queue, func() { n.core.Drain(by) })
+	return n.core.Idle()
 }
 
 // Run is the loop. It returns when stop is closed.
 func (n *Node) Run(stop <-chan struct{}) {
 	defer n.in.close()
 	defer close(n.stopped)
-	n.held.Held(n.opt.Known.Version)
-	n.list(n.opt.Known, brain.Cached)
-	if n.pushed() {
-		n.subscribe()
-	}
+	n.core.Begin()
 	timer := time.NewTimer(0)
 	for {
 		select { // lists first
@@ -183,333 +121,13 @@
 				n.takeSome()
 			case <-timer.C:
 			case <-stop:
-				if n.stopWatch != nil {
-					n.stopWatch()
-				}
+				n.core.End()
 				return
 			}
 		}
-		n.settle()
-		now := time.Now()
-		for len(n.timers) > 0 && !n.timers[0].at.After(now) {
-			heap.Pop(&n.timers).(*timed).run()
-			n.settle()
-		}
-		if len(n.timers) > 0 {
-			timer.Reset(time.Until(n.timers[0].at))
-		}
-	}
-}
-
-// moduleTime converts a time of the system's clock to the module's.
-func (n *Node) moduleTime(t time.Time) brain.Time {
-	return time.Duration(n.start.UnixNano()) + t.Sub(n.start)
-}
-
-func (n *Node) systemTime(t brain.Time) time.Time {
-	return n.start.Add(t - time.Duration(n.start.UnixNano()))
-}
-
-// tell gives the module an event and carries out its actions.
-func (n *Node) tell(ev brain.Event) {
-	for _, a := range n.router.Handle(n.moduleTime(time.Now()), ev) {
-		n.do(a)
-	}
-}
-
-// settle tells the module what its own actions brought about at once.
-func (n *Node) settle() {
-	for len(n.backlog) > 0 {
-		ev := n.backlog[0]
-		n.backlog = n.backlog[1:]
-		if out, ok := ev.(brain.Outcome); ok {
-			s := n.flows[out.ID]
-			out.Ended = s == nil || s.answered
-			ev = out
-			n.tell(ev)
-			n.forget(s)
-			continue
-		}
-		n.tell(ev)
-	}
-}
-
-func (n *Node) do(a brain.Action) {
-	switch a := a.(type) {
-	case brain.Send:
-		n.send(a)
-	case brain.Refuse:
-		n.answer(n.flows[a.ID], flow.Response{Kind: flow.Refused, RetryAfter: a.RetryAfter})
-	case brain.Fail:
-		n.answer(n.flows[a.ID], flow.Response{Kind: flow.Failed})
-	case brain.Cancel:
-		if s := n.flows[a.ID]; s != nil && a.Attempt < len(s.forwards) && s.forwards[a.Attempt] != nil {
-			n.giveUp(s, s.forwards[a.Attempt], forward.Cancelled)
-		}
-	case brain.Probe:
-		n.probe(a.Server)
-	case brain.Close:
-		if s := n.servers[a.Server]; s != nil {
-			s.up.CloseIdle()
-		}
-	case brain.SetTimer:
-		n.at(n.systemTime(a.At), func() { n.tell(brain.Timer{Token: a.Token}) })
-	case brain.Subscribe:
-		n.subscribe()
-	case brain.Tell:
-		if n.opt.Tell == nil {
-			return
-		}
-		if err := n.opt.Tell(a.Data); err != nil {
-			n.opt.Count.PeersDropped.Add(1)
-		} else {
-			n.opt.Count.PeersTold.Add(1)
+		n.core.Due()
+		if at, ok := n.core.Next(); ok {
+			timer.Reset(time.Until(at))
 		}
-	case brain.Spread:
-		if n.opt.Spread != nil {
-			n.opt.Spread(a.Duty)
-		}
-	case brain.Log:
-		n.opt.Log.Info(a.Text, logs.Event, "module")
-	default:
-		n.opt.Log.Error("the module asked for what this node does not know", logs.Event, "action_unknown", "action", reflect.TypeOf(a).String())
-	}
-}
-
-func (n *Node) take(f *flow.Flow) {
-	class := n.classes[f.Class]
-	if n.ids[string(f.ID)] {
-		n.opt.Count.Duplicate.Add(1)
-		f.Reply(flow.Response{Kind: flow.Invalid, Text: "request id is in use"})
-		return
-	}
-	n.opt.Count.In(class)
-	n.nextID++
-	wait := f.Wait
-	if n.opt.MaxWait > 0 {
-		wait = min(wait, n.opt.MaxWait)
-	}
-	s := &state{Flow: f, id: n.nextID, class: class, deadline: f.Taken.Add(max(wait-transit, time.Millisecond))}
-	n.flows[s.id], n.byFlow[f], n.ids[string(f.ID)] = s, s, true
-	n.open++
-	s.counted = n.taken.Take(len(f.Value), f.Write)
-	if !s.counted {
-		n.opt.Count.NoMemory.Add(1)
-	}
-	if n.open > n.opt.MaxOpen || !s.counted { // nothing of it has run
-		n.answer(s, flow.Response{Kind: flow.Refused})
-		return
-	}
-	if n.closing && s.deadline.After(n.lastAt) {
-		s.deadline = n.lastAt
-	}
-	s.expiry = n.at(s.deadline, func() { n.expire(s) })
-	n.tell(brain.Request{ID: s.id, Key: string(f.Key), Class: f.Class, Tenant: f.Tenant,
-		Deadline: n.moduleTime(s.deadline), Write: f.Write})
-}
-
-func (n *Node) gone(f *flow.Flow) {
-	f.Left = true
-	if s := n.byFlow[f]; s != nil && !s.answered {
-		n.opt.Count.Gone.Add(1)
-		n.over(s)
-		n.tell(brain.Gone{ID: s.id})
-		n.forget(s)
 	}
 }
-
-// over notes that nothing is owed for a flow any more.
-func (n *Node) over(s *state) {
-	s.answered = true
-	if s.counted {
-		n.taken.Give(len(s.Value))
-	}
-	delete(n.ids, string(s.ID))
-	n.open--
-	n.checkIdle()
-}
-
-func (n *Node) checkIdle() {
-	if n.closing && n.open == 0 {
-		select {
-		case <-n.idle:
-		default:
-			close(n.idle)
-		}
-	}
-}
-
-// answer gives the one final answer of a flow.
-func (n *Node) answer(s *state, r flow.Response) {
-	if s == nil || s.answered {
-		return
-	}
-	n.opt.Count.Answered(s.class, int(r.Kind))
-	if r.Kind == flow.Served && time.Since(s.Taken) > n.opt.Module.Classes[s.class].Aim {
-		n.opt.Count.Slow.Add(1)
-	}
-	s.Reply(r)
-	n.over(s)
-	n.forget(s)
-}
-
-// forget drops a flow when it has been answered and nothing of it is out.
-func (n *Node) forget(s *state) {
-	if s != nil && s.answered && s.out == 0 {
-		delete(n.flows, s.id)
-		delete(n.byFlow, s.Flow)
-		n.drop(s.expiry)
-	}
-}
-
-// expire ends what is out for a flow at its deadline: the module learns of each time-out and gives the answer.
-func (n *Node) expire(s *state) {
-	for _, f := range s.forwards {
-		if f != nil {
-			n.giveUp(s, f, forward.TimedOut)
-		}
-	}
-	n.settle()
-	if !s.answered {
-		// The module's own timer may be due a moment later. After that the flow is answered without it; what
-		// may have run must not be refused, and a failure promises nothing.
-		n.at(time.Now().Add(overdue), func() {
-			if !s.answered {
-				n.answer(s, flow.Response{Kind: flow.Failed})
-				n.tell(brain.Gone{ID: s.id})
-			}
-		})
-	}
-}
-
-func (n *Node) send(a brain.Send) {
-	s, srv := n.flows[a.ID], n.servers[a.Server]
-	if s == nil {
-		return
-	}
-	f := &forward.Forward{Flow: s.Flow, Attempt: len(s.forwards), Server: a.Server, Sent: time.Now(),
-		Deadline: s.deadline, Fresh: n.opt.Module.Classes[s.class].Effect == brain.Unsafe}
-	s.forwards = append(s.forwards, f)
-	s.out++
-	n.opt.Count.Sent(s.class)
-	end, ok := forward.NotSent, false
-	if srv != nil && !s.answered && time.Now().Before(s.deadline) {
-		end, ok = srv.up.Send(f)
-	}
-	if srv != nil {
-		srv.out++
-	}
-	if !ok {
-		n.ended(s, f, end)
-	}
-}
-
-// giveUp ends a forward from the node's side.
-func (n *Node) giveUp(s *state, f *forward.Forward, end forward.End) {
-	if srv := n.servers[f.Server]; srv != nil && !srv.up.Abandon(f) && end == forward.TimedOut {
-		end = forward.NotSent // it waited for a connection all the time
-	}
-	n.ended(s, f, end)
-}
-
-// ended queues the outcome of a forward; settle tells it.
-func (n *Node) ended(s *state, f *forward.Forward, end forward.End) {
-	s.forwards[f.Attempt] = nil
-	s.out--
-	if srv := n.servers[f.Server]; srv != nil {
-		srv.out--
-	}
-	n.opt.Count.Ended(s.class, int(end))
-	n.backlog = append(n.backlog, brain.Outcome{ID: s.id, Attempt: f.Attempt, Server: f.Server,
-		Reason: end.Reason(), Took: time.Since(f.Sent)})
-}
-
-// reported takes the answer of a pool.
-func (n *Node) reported(f *forward.Forward, a forward.Answer) {
-	s := n.byFlow[f.Flow]
-	if s == nil || f.Attempt >= len(s.forwards) || s.forwards[f.Attempt] != f {
-		n.opt.Count.Late.Add(1) // given up before
-		return
-	}
-	if a.End == forward.Served {
-		n.answer(s, flow.Response{Kind: flow.Served, Value: a.Value})
-	}
-	n.ended(s, f, a.End)
-}
-
-func (n *Node) probe(id string) {
-	srv := n.servers[id]
-	if srv == nil {
-		return
-	}
-	n.opt.Count.Probes.Add(1)
-	now := time.Now()
-	f := &forward.Forward{Server: id, Sent: now, Deadline: now.Add(probeTimeout)}
-	srv.probes = append(srv.probes, f)
-	if end, ok := srv.up.Send(f); !ok {
-		n.probed(srv, f, end)
-		return
-	}
-	n.at(f.Deadline, func() {
-		if n.probed(srv, f, forward.TimedOut) {
-			srv.up.Abandon(f)
-			srv.up.CloseIdle() // to a machine that is cut off they would stay open and silent
-		}
-	})
-}
-
-// probed queues the result of a probe, unless it is known already.
-func (n *Node) probed(srv *server, f *forward.Forward, end forward.End) bool {
-	for i, p := range srv.probes {
-		if p == f {
-			srv.probes = append(srv.probes[:i], srv.probes[i+1:]...)
-			n.backlog = append(n.backlog, brain.Probed{Server: f.Server, Reason: end.Reason()})
-			return true
-		}
-	}
-	return false
-}
-
-// timed is work that is due at a time.
-type timed struct {
-	at    time.Time
-	run   func()
-	index int // in the heap; -1 when it is no longer there
-}
-
-func (n *Node) at(t time.Time, run func()) *timed {
-	w := &timed{at: t, run: run}
-	heap.Push(&n.timers, w)
-	return w
-}
-
-// drop takes work back, so that what it refers to is not held until it is due.
-func (n *Node) drop(w *timed) {
-	if w != nil && w.index >= 0 {
-		heap.Remove(&n.timers, w.index)
-	}
-}
-
-type timers []*timed
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int) {
-	t[i], t[j] = t[j], t[i]
-	t[i].index, t[j].index = i, j
-}
-
-func (t *timers) Push(x any) {
-	w := x.(*timed)
-	w.index = len(*t)
-	*t = append(*t, w)
-}
-
-func (t *timers) Pop() any {
-	end := len(*t) - 1
-	w := (*t)[end]
-	(*t)[end] = nil
-	*t = (*t)[:end]
-	w.index = -1
-	return w
-}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"shelfproxy/brain"
@@ -15,7 +17,7 @@
 
 // list takes news of the list: the pools learn of it first, so that nothing queued before goes to a server that
 // has left, then the module.
-func (n *Node) list(l discovery.List, scope brain.ListScope) {
+func (n *Core) list(l discovery.List, scope brain.ListScope) {
 	event := brain.List{Scope: scope}
 	named := map[string]bool{}
 	for _, d := range l.Servers {
@@ -26,7 +28,7 @@
 		if s == nil {
 			s = &server{Server: d}
 			origin := n.opt.Module.OriginKind != "" && d.Kind == n.opt.Module.OriginKind
-			s.up = n.opt.Upstream(d, origin, n.report)
+			s.up = n.opt.Upstream(d, origin, n.own.Report)
 			n.servers[d.ID] = s
 		}
 		addr := d.Addr
@@ -37,8 +39,8 @@
 		n.leave(s, addr, d.State != discovery.Up)
 	}
 	if scope != brain.Changes {
-		for id, s := range n.servers {
-			if !named[id] {
+		for _, id := range slices.Sorted(maps.Keys(n.servers)) {
+			if s := n.servers[id]; !named[id] {
 				s.State = discovery.Removed
 				n.leave(s, s.Addr, true)
 			}
@@ -53,18 +55,19 @@
 }
 
 // leave updates a server's pool.
-func (n *Node) leave(s *server, addr string, left bool) {
+func (n *Core) leave(s *server, addr string, left bool) {
 	for _, f := range s.up.Update(addr, left) {
 		n.landed(f, forward.Answer{End: forward.Drained})
 	}
 }
 
-// report is what pools call with the end of a forward.
-func (n *Node) report(f *forward.Forward, a forward.Answer) {
-	n.post(n.queue, func() { n.landed(f, a) })
+// Landed takes the end of a forward from its pool.
+func (n *Core) Landed(f *forward.Forward, a forward.Answer) {
+	n.landed(f, a)
+	n.settle()
 }
 
-func (n *Node) landed(f *forward.Forward, a forward.Answer) {
+func (n *Core) landed(f *forward.Forward, a forward.Answer) {
 	if f.Flow == nil {
 		if srv := n.servers[f.Server]; srv != nil {
 			n.probed(srv, f, a.End)
@@ -80,10 +83,10 @@
 
 // pushed says that the list is sent to this node unasked. On sockets that is an agent on its machine, which has to be
 // listened to: the module, which is told of lists and asks for none there, knows nothing of it.
-func (n *Node) pushed() bool { return !n.opt.Module.MustAsk }
+func (n *Core) pushed() bool { return !n.opt.Module.MustAsk }
 
 // subscribe starts a watch. While a healthy one runs there is nothing to ask for.
-func (n *Node) subscribe() {
+func (n *Core) subscribe() {
 	if n.healthy {
 		return
 	}
@@ -94,21 +97,22 @@
 	n.watch++
 	number := n.watch
 	n.stopWatch = n.opt.Source.Watch(n.held.Version(), func(l discovery.List, err error) {
-		n.post(n.lists, func() { n.watched(number, l, err) })
+		n.own.List(func() {
+			n.watched(number, l, err)
+			n.settle()
+		})
 	})
 }
 
 // Follow moves the watch to another source, which knows the same list under the same versions: discovery is one
 // service, whatever its address. What the old watch still reports is dropped.
-func (n *Node) Follow(source discovery.Source) {
-	n.post(n.lists, func() {
-		n.opt.Source, n.healthy = source, false
-		n.subscribe()
-	})
+func (n *Core) Follow(source discovery.Source) {
+	n.opt.Source, n.healthy = source, false
+	n.subscribe()
 }
 
 // watched takes a report of a watch. One that broke is told to the module, which asks anew in its own time.
-func (n *Node) watched(number int, l discovery.List, err error) {
+func (n *Core) watched(number int, l discovery.List, err error) {
 	if number != n.watch {
 		return
 	}
@@ -133,7 +137,7 @@
 			"error", err.Error(), "held", n.held.Version(), "came", l.Version)
 		n.healthy, n.watch = false, n.watch+1
 		if n.pushed() {
-			n.at(time.Now().Add(agentRetry), n.subscribe)
+			n.at(n.own.Now().Add(agentRetry), n.subscribe)
 		} else {
 			n.tell(brain.List{Scope: brain.Failed})
 		}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -44,39 +43,99 @@
 	return w.Bytes()
 }
 
-// NewReader returns a reader of the responses on a connection.
-func (Codec) NewReader(c net.Conn) forward.Reader {
-	limit := &io.LimitedReader{R: c}
-	return reader{bufio.NewReader(limit), limit}
+// NewDecoder returns a decoder of the responses on a connection.
+func (Codec) NewDecoder() forward.Decoder { return &decoder{} }
+
+const (
+	chunk    = 4 << 10
+	mostKept = maxHeader + 2*maxBody // of one response; a body may be chunked
+)
+
+// decoder keeps what came of one response and has net/http's codec read it, anew with each part that comes.
+type decoder struct {
+	buf  []byte
+	end  int
+	want int // bytes before which there is nothing new to see
+	in   bytes.Reader
+	rd   *bufio.Reader
 }
 
-type reader struct {
-	*bufio.Reader
-	limit *io.LimitedReader // net/http's codec takes a header of any size
+func (d *decoder) Buffered() int { return d.end }
+
+func (d *decoder) Took(n int) { d.end += n }
+
+func (d *decoder) Space() []byte {
+	if d.end == len(d.buf) {
+		bigger := make([]byte, max(chunk, 2*len(d.buf)))
+		copy(bigger, d.buf)
+		d.buf = bigger
+	}
+	return d.buf[d.end:]
 }
 
-func (r reader) Wait() error {
-	r.limit.N = maxHeader + 2*maxBody // a body may be chunked
-	_, err := r.Peek(1)
+var proto = []byte("HTTP/1.")
+
+func (d *decoder) Next(ended bool) (forward.Answer, bool, error) {
+	all := d.buf[:d.end]
+	if n := min(len(all), len(proto)); !bytes.Equal(all[:n], proto[:n]) {
+		return forward.Answer{}, false, forward.ErrGarbage
+	}
+	if !ended && d.end < d.want {
+		return forward.Answer{}, false, nil
+	}
+	d.want = 0
+	d.in.Reset(all)
+	if d.rd == nil {
+		d.rd = bufio.NewReader(&d.in)
+	} else {
+		d.rd.Reset(&d.in)
+	}
+	a, err := d.response(ended)
+	switch {
+	case errors.Is(err, errMore) && d.end < mostKept:
+		return forward.Answer{}, false, nil
+	case err != nil:
+		return forward.Answer{}, false, forward.ErrGarbage
+	}
+	rest := d.in.Len() + d.rd.Buffered()
+	copy(d.buf, all[len(all)-rest:])
+	if d.end = rest; rest == 0 && len(d.buf) > chunk {
+		d.buf = nil // a large response must not hold its room for good
+	}
+	return a, true, nil
+}
+
+// errMore says that the response has not come whole.
+var errMore = errors.New("more bytes are wanted")
+
+// more makes the end of what came into a wish for more.
+func more(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return errMore
+	}
 	return err
 }
 
-func (r reader) Read() (forward.Answer, error) {
-	resp, err := http.ReadResponse(r.Reader, nil)
+// response reads one response, with the 1xx answers that may come ahead of it.
+func (d *decoder) response(ended bool) (forward.Answer, error) {
+	if bytes.Index(d.buf[:d.end], []byte("\n\r\n")) < 0 && bytes.Index(d.buf[:d.end], []byte("\n\n")) < 0 {
+		return forward.Answer{}, errMore
+	}
+	resp, err := http.ReadResponse(d.rd, nil)
 	// 1xx answers come ahead of the one that counts; after 101 the connection would speak another protocol.
 	for n := 0; err == nil && resp.StatusCode < 200; n++ {
 		if n == maxInterim || resp.StatusCode == http.StatusSwitchingProtocols {
 			return forward.Answer{}, forward.ErrGarbage
 		}
-		resp, err = http.ReadResponse(r.Reader, nil)
+		resp, err = http.ReadResponse(d.rd, nil)
 	}
 	if err != nil {
-		return forward.Answer{}, bad(err)
+		return forward.Answer{}, more(err)
 	}
 	defer resp.Body.Close()
-	body, err := read(resp)
+	body, err := d.body(resp, ended)
 	if err != nil {
-		return forward.Answer{}, bad(err)
+		return forward.Answer{}, err
 	}
 	a := forward.Answer{End: forward.Errored, Load: []byte(resp.Header.Get("X-Load")), Close: resp.Close}
 	switch {
@@ -88,28 +147,28 @@
 	return a, nil
 }
 
-// read reads the body into a buffer of its own, as the answer outlives the connection's.
-func read(resp *http.Response) ([]byte, error) {
+// body reads the body into a buffer of its own, as the answer outlives the decoder's.
+func (d *decoder) body(resp *http.Response, ended bool) ([]byte, error) {
 	if resp.ContentLength > maxBody {
 		return nil, forward.ErrGarbage
 	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
+	if n := resp.ContentLength; n >= 0 {
+		if have := d.in.Len() + d.rd.Buffered(); int64(have) < n {
+			d.want = d.end + int(n) - have
+			return nil, errMore
+		}
+		body := make([]byte, n)
 		_, err := io.ReadFull(resp.Body, body)
-		return body, err
+		return body, more(err)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err == nil && len(body) > maxBody {
-		err = forward.ErrGarbage
-	}
-	return body, err
-}
-
-// bad tells a connection that broke from one that sent what is no response.
-func bad(err error) error {
-	var broken net.Error
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken) {
-		return err
+	switch {
+	case len(body) > maxBody:
+		return nil, forward.ErrGarbage
+	case err != nil:
+		return nil, more(err)
+	case len(resp.TransferEncoding) == 0 && !ended: // its end is that of the connection
+		return nil, errMore
 	}
-	return forward.ErrGarbage
+	return body, nil
 }
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -3,7 +3,6 @@
 
 import (
 	"bytes"
-	"net"
 	"strconv"
 	"time"
 
@@ -56,57 +55,40 @@
 
 var comma, wait = []byte{','}, []byte("d=")
 
-// NewReader returns a reader of the answers on a connection.
-func (Codec) NewReader(c net.Conn) forward.Reader { return &reader{conn: c} }
+// NewDecoder returns a decoder of the answers on a connection.
+func (Codec) NewDecoder() forward.Decoder { return &decoder{} }
 
 // chunk is how much is read at once. Answers are slices of the chunk that they were read into; what was read is
 // never written over, as an answer may still be on its way to a client.
 const chunk = 16 << 10
 
-type reader struct {
-	conn       net.Conn
+type decoder struct {
 	buf        []byte
 	start, end int
 }
 
-func (r *reader) Wait() error {
-	if r.start < r.end {
-		return nil
-	}
-	return r.fill()
-}
+func (d *decoder) Buffered() int { return d.end - d.start }
 
-func (r *reader) Buffered() int { return r.end - r.start }
+func (d *decoder) Took(n int) { d.end += n }
 
-// fill reads more. An answer that no longer fits the chunk moves to a new one.
-func (r *reader) fill() error {
-	if r.end == len(r.buf) {
-		part := r.buf[r.start:r.end]
-		r.buf = make([]byte, max(chunk, 2*len(part)))
-		r.start, r.end = 0, copy(r.buf, part)
-	}
-	n, err := r.conn.Read(r.buf[r.end:])
-	r.end += n
-	if n > 0 {
-		return nil
+// Space is the rest of the chunk. An answer that no longer fits it moves to a new one.
+func (d *decoder) Space() []byte {
+	if d.end == len(d.buf) {
+		part := d.buf[d.start:d.end]
+		d.buf = make([]byte, max(chunk, 2*len(part)))
+		d.start, d.end = 0, copy(d.buf, part)
 	}
-	return err
+	return d.buf[d.end:]
 }
 
-func (r *reader) Read() (forward.Answer, error) {
-	for {
-		v, n, err := parse(r.buf[r.start:r.end], 0)
-		if err != nil {
-			return forward.Answer{}, err
-		}
-		if n > 0 {
-			r.start += n
-			return answer(v)
-		}
-		if err := r.fill(); err != nil {
-			return forward.Answer{}, err
-		}
+func (d *decoder) Next(bool) (forward.Answer, bool, error) {
+	v, n, err := parse(d.buf[d.start:d.end], 0)
+	if err != nil || n == 0 {
+		return forward.Answer{}, false, err
 	}
+	d.start += n
+	a, err := answer(v)
+	return a, err == nil, err
 }
 
 var busy = []byte("BUSY")
