Take values as long as this deployment sends them, within the node's memory

What the decoders took for garbage (node n1, 3,295 times): *3 $399998, *3 $137019, Content-Length 364408 and so on, whole answers that begin with the request's id. Then, with those served, 1,497 of 20,000 reads were refused after a miss: 189 fetches at one node hung on connections that had fallen silent, and each cut the limit of fetches by half, as one of 236 ms moves the mean of eight past any crowd.

Change: a value may be a thirty-second of the node's memory (forward.Room; 1 MB at 32 MB), and long answers on their way in may take an eighth of it together; past that an attempt ends as unheld, an error. Decoders read a long answer into a buffer of its size. A fetch that got no answer weighs no more than crowded times a crowded one in the limit of fetches. The log's line started tells the limits.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"shelfproxy/internal/admission"
 	"shelfproxy/internal/gossip"
 	"shelfproxy/internal/tally"
 	"shelfproxy/internal/zones"
@@ -517,8 +518,9 @@
 	}
 	if s == r.origin {
 		if e.Reason != Moot {
-			calm, out := s.gauge.target, len(s.gauge.out)+1
-			r.gate.Timed(r.now, q.Write, e.Took, calm, e.Reason == Rejected, out)
+			how := admission.Timing{Write: q.Write, Took: e.Took, Full: e.Reason == Rejected,
+				Lost: e.Reason == TimedOut}
+			r.gate.Timed(r.now, how, s.gauge.target, len(s.gauge.out)+1)
 		}
 		r.land(q, e.Reason == OK)
 	}
--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -88,7 +88,8 @@
 		go d.duties.Run(ended)
 	}
 	go d.serveControl(ended)
-	d.log.Info("the node is up", logs.Event, "started", "name", cfg.Name, "listen", cfg.Listen)
+	d.log.Info("the node is up", logs.Event, "started", "name", cfg.Name, "listen", cfg.Listen, "cores", cfg.Cores,
+		"memory_mb", cfg.MemoryMB, "sockets", cfg.Sockets)
 
 	begun := time.Now()
 	looks := time.NewTicker(look)
@@ -185,14 +186,15 @@
 			duties.Say(brain.DutyNames[duty])
 		}
 	}
+	long := forward.NewRoom(cfg.MemoryMB<<20/longShare, max(leastValue, cfg.MemoryMB<<20/valueShare))
 	n, err := node.New(node.Options{Tell: tell, Spread: spread, Module: module, Seed: cfg.Seed, MaxOpen: cfg.Node.MaxOpen, MaxHeld: cfg.MemoryMB << 20 / heldShare, MaxWait: cfg.Node.LongestWait,
 		Known: cfg.Known, Source: &discovery.Client{Addr: cfg.Discovery}, Count: count, Log: logs.Component(log, "node"),
 		Upstream: func(s discovery.Server, isOrigin bool, report func(*forward.Forward, forward.Answer)) node.Upstream {
 			if isOrigin {
-				return forward.NewPool(s.Addr, origin.Codec{Host: s.Addr}, originLimits,
+				return forward.NewPool(s.Addr, origin.Codec{Host: s.Addr, Room: long}, originLimits,
 					origins, report, func() { count.OriginOpened.Add(1) })
 			}
-			return forward.NewPool(s.Addr, target.Codec{}, limits, targets, report, func() { count.Opened.Add(1) })
+			return forward.NewPool(s.Addr, target.Codec{Room: long}, limits, targets, report, func() { count.Opened.Add(1) })
 		}})
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -349,6 +351,15 @@
 	leastPipelined = 8
 )
 
+// Values are 64 KiB at most by the protocol's page, and 400 KB on days that were played. A node takes one of a
+// thirty-second of its memory, so that one which is said to be of 3 GB is none, and has an eighth for long ones on their
+// way in.
+const (
+	valueShare = 32
+	longShare  = 8
+	leastValue = 64 << 10
+)
+
 // heldShare is one over the part of the memory that requests may hold until they are answered. Answers on their way to
 // clients may hold a sixth.
 const heldShare = 4
--- a/internal/admission/concurrency.go
+++ b/internal/admission/concurrency.go
@@ -43,20 +43,34 @@
 	return int(c.limit)
 }
 
-// Timed takes the time of an answer, or of one that did not come. Writes and reads take different times. A mean up to calm
-// is no crowd in any case; full says that the server turned it away; out is how much was out, this one among it.
-func (c *Concurrency) Timed(now Time, write bool, took, calm time.Duration, full bool, out int) {
+// Timing is how one piece of work went.
+type Timing struct {
+	Write bool // writes and reads take different times
+	Took  time.Duration
+	Full  bool // the server turned it away
+	Lost  bool // nothing came
+}
+
+// Timed takes how work went. A mean up to calm is no crowd in any case; out is how much was out, this one among it.
+func (c *Concurrency) Timed(now Time, t Timing, calm time.Duration, out int) {
 	c.Limit()
-	if c.cutAt > 0 && now-took < c.cutAt {
+	if c.cutAt > 0 && now-t.Took < c.cutAt {
 		return // sent before the last cut: it tells nothing of it
 	}
 	b := &c.base[0]
-	if write {
+	if t.Write {
 		b = &c.base[1]
 	}
 	if b.n < few {
 		b.n++
 	}
+	took, full := t.Took, t.Full
+	crowd := max(calm, time.Duration(crowded*float64(b.least)))
+	if t.Lost && b.least > 0 {
+		// It may have been lost on its way, or with its connection, and its time is only for how long somebody waited. Half of
+		// those that a mean is of have to be lost before that is a crowd, where one would do by its time.
+		took = min(took, time.Duration(crowded*float64(crowd)))
+	}
 	b.mean += (took - b.mean) / time.Duration(b.n)
 	known := b.n == few
 	if known {
--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -47,10 +47,59 @@
 	Next(ended bool) (Answer, bool, error)
 	// Buffered is how many bytes came that belong to no answer yet.
 	Buffered() int
+	// Drop ends its use: what it took of a Room is given back.
+	Drop()
 }
 
-// ErrGarbage is returned by a Decoder for bytes that are no answer.
-var ErrGarbage = errors.New("no answer of this protocol")
+// What a Decoder returns for bytes that can't be taken.
+var (
+	ErrGarbage = errors.New("no answer of this protocol")
+	ErrNoRoom  = errors.New("no memory for an answer of this length")
+)
+
+// Room bounds the memory that long answers take while they come in, over all servers: the value may be far longer than the
+// usual one, but not many of them at once. It may be used from any goroutine.
+type Room struct {
+	most int // bytes of one answer
+	left atomic.Int64
+}
+
+// NewRoom makes a room of so many bytes, of which one answer takes no more than most.
+func NewRoom(bytes, most int) *Room {
+	r := &Room{most: most}
+	r.left.Store(int64(bytes))
+	return r
+}
+
+// usual is how long an answer may be where there is no room of its own: what the protocol's page gives.
+const usual = 64 << 10
+
+// Most is how long one value may be.
+func (r *Room) Most() int {
+	if r == nil {
+		return usual
+	}
+	return r.most
+}
+
+// Take takes bytes, if they are there.
+func (r *Room) Take(n int) bool {
+	if r == nil || r.left.Add(int64(-n)) >= 0 {
+		return true
+	}
+	r.left.Add(int64(n))
+	return false
+}
+
+// Give gives bytes back.
+func (r *Room) Give(n int) {
+	if r != nil {
+		r.left.Add(int64(n))
+	}
+}
+
+// Left is how many bytes are left.
+func (r *Room) Left() int { return int(r.left.Load()) }
 
 // Codec is what differs between protocols.
 type Codec interface {
@@ -491,7 +540,11 @@
 		}
 		a, ok, err := c.Decoder.Next(ended)
 		if err != nil {
-			p.close(now, c, Garbage, fx)
+			end := Garbage
+			if errors.Is(err, ErrNoRoom) {
+				end = Unheld
+			}
+			p.close(now, c, end, fx)
 			return
 		}
 		if !ok {
@@ -533,6 +586,7 @@
 	p.conns = slices.DeleteFunc(p.conns, func(o *Conn) bool { return o == c })
 	p.idle = slices.DeleteFunc(p.idle, func(o *Conn) bool { return o == c })
 	*fx = append(*fx, Effect{Kind: Shut, Conn: c})
+	c.Decoder.Drop()
 	if c.shared {
 		p.budget.give()
 	}
--- /dev/null
+++ b/internal/forward/decoder_test.go
@@ -0,0 +1,91 @@
+package forward_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"shelfproxy/internal/forward"
+	"shelfproxy/internal/origin"
+	"shelfproxy/internal/target"
+)
+
+// TestDecoders feeds answers in pieces of any size, cut anywhere, to both decoders. Each comes out whole and in order,
+// whatever its length up to the most; a longer one is garbage at once, one for which there is no room is told apart, and all
+// that was taken of the room is given back.
+func TestDecoders(t *testing.T) {
+	const most, room = 500 << 10, 2 << 20
+	protocols := map[string]struct {
+		codec func(*forward.Room) forward.Codec
+		text  func(value string) string
+	}{
+		"target": {func(r *forward.Room) forward.Codec { return target.Codec{Room: r} },
+			func(v string) string { return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(v), v) }},
+		"origin": {func(r *forward.Room) forward.Codec { return origin.Codec{Room: r} },
+			func(v string) string {
+				return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(v), v)
+			}},
+		"origin, chunked": {func(r *forward.Room) forward.Codec { return origin.Codec{Room: r} },
+			func(v string) string {
+				return fmt.Sprintf("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(v), v)
+			}},
+	}
+	for name, p := range protocols {
+		rng := rand.New(rand.NewPCG(1, 1))
+		r := forward.NewRoom(room, most)
+		d := p.codec(r).NewDecoder()
+		var wire bytes.Buffer
+		var want []string
+		for _, n := range []int{1, 10, 4000, 16 << 10, 16<<10 - 30, 64 << 10, 64<<10 + 1, 399_998, most, 3, 70 << 10, 12} {
+			want = append(want, strings.Repeat(string(rune('a'+len(want))), n))
+			wire.WriteString(p.text(want[len(want)-1]))
+		}
+		var got []string
+		for wire.Len() > 0 {
+			piece := wire.Next(1 + rng.IntN([]int{3, 5000, 100_000}[rng.IntN(3)]))
+			for len(piece) > 0 {
+				n := copy(d.Space(), piece)
+				piece = piece[n:]
+				d.Took(n)
+				for d.Buffered() > 0 {
+					a, ok, err := d.Next(false)
+					if err != nil {
+						t.Fatalf("%s: answer %d: %v", name, len(got), err)
+					}
+					if !ok {
+						break
+					}
+					got = append(got, string(a.Value))
+				}
+			}
+		}
+		if strings.Join(got, " ") != strings.Join(want, " ") {
+			t.Errorf("%s: %d answers came out of %d, or not as they were sent", name, len(got), len(want))
+		}
+		if d.Drop(); r.Left() != room {
+			t.Errorf("%s: %d bytes of the room are not given back", name, room-r.Left())
+		}
+	}
+	for name, test := range map[string]struct {
+		codec forward.Codec
+		text  string
+		want  error
+	}{
+		"target, too long":        {target.Codec{Room: forward.NewRoom(room, most)}, "*3\r\n$3221225472\r\nx", forward.ErrGarbage},
+		"target, a little longer": {target.Codec{Room: forward.NewRoom(room, most)}, fmt.Sprintf("*3\r\n$%d\r\nx", most+1), forward.ErrGarbage},
+		"target, no room":         {target.Codec{Room: forward.NewRoom(100_000, most)}, "*3\r\n$200000\r\nx", forward.ErrNoRoom},
+		"origin, too long":        {origin.Codec{Room: forward.NewRoom(room, most)}, "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nx", forward.ErrGarbage},
+		"origin, no room":         {origin.Codec{Room: forward.NewRoom(100_000, most)}, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\nx", forward.ErrNoRoom},
+		"origin, noise":           {origin.Codec{}, "\x00\xff", forward.ErrGarbage},
+		"target, noise":           {target.Codec{}, "\x00\xff", forward.ErrGarbage},
+	} {
+		d := test.codec.NewDecoder()
+		d.Took(copy(d.Space(), test.text))
+		if _, _, err := d.Next(false); !errors.Is(err, test.want) {
+			t.Errorf("%s: %v, want %v", name, err, test.want)
+		}
+	}
+}
--- a/internal/forward/end.go
+++ b/internal/forward/end.go
@@ -20,6 +20,7 @@
 	CutShort      // the connection broke before the last byte was written
 	Broken        // the connection ended after the last byte may have been written
 	Garbage       // the server sent what is no answer, and its connection was closed
+	Unheld        // its answer is too long for the memory that is left
 	TimedOut      // no answer by the flow's deadline
 	Cancelled     // given up by the module
 	numberOfEnds
@@ -43,6 +44,7 @@
 	CutShort:  {"cut_short", brain.NoConnection},
 	Broken:    {"broken", brain.Reset},
 	Garbage:   {"garbage", brain.Spoilt},
+	Unheld:    {"unheld", brain.Errored}, // it may have run, and again it would be as long
 	TimedOut:  {"timed_out", brain.TimedOut},
 	Cancelled: {"cancelled", brain.Cancelled},
 }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -15,13 +15,15 @@
 )
 
 const (
-	maxBody    = 64 << 10 // of a value; one that is said to be larger may never end
 	maxHeader  = 64 << 10
 	maxInterim = 8 // 1xx answers ahead of one
 )
 
 // Codec writes the origin's requests and reads its responses. Its connections carry one request at a time.
-type Codec struct{ Host string }
+type Codec struct {
+	Host string
+	Room *forward.Room
+}
 
 // Append appends the HTTP request of a forward.
 func (c Codec) Append(b []byte, f *forward.Forward, _ time.Time) []byte {
@@ -44,15 +46,17 @@
 }
 
 // NewDecoder returns a decoder of the responses on a connection.
-func (Codec) NewDecoder() forward.Decoder { return &decoder{} }
+func (c Codec) NewDecoder() forward.Decoder { return &decoder{room: c.Room} }
 
 const (
-	chunk    = 4 << 10
-	mostKept = maxHeader + 2*maxBody // of one response; a body may be chunked
+	chunk = 4 << 10
+	short = 64 << 10 // a response up to that takes no room
 )
 
 // decoder keeps what came of one response and has net/http's codec read it, anew with each part that comes.
 type decoder struct {
+	room *forward.Room
+	took int // of it
 	buf  []byte
 	end  int
 	want int // bytes before which there is nothing new to see
@@ -65,8 +69,8 @@
 func (d *decoder) Took(n int) { d.end += n }
 
 func (d *decoder) Space() []byte {
-	if d.end == len(d.buf) {
-		bigger := make([]byte, max(chunk, 2*len(d.buf)))
+	if d.end == len(d.buf) || d.want > len(d.buf) {
+		bigger := make([]byte, max(chunk, 2*len(d.buf), d.want))
 		copy(bigger, d.buf)
 		d.buf = bigger
 	}
@@ -92,11 +96,18 @@
 	}
 	a, err := d.response(ended)
 	switch {
-	case errors.Is(err, errMore) && d.end < mostKept:
+	case errors.Is(err, errMore) && d.end < maxHeader+2*d.room.Most(): // a body may be chunked
+		if need := max(d.want, d.end) - d.took; need > short {
+			if !d.room.Take(need) {
+				return forward.Answer{}, false, forward.ErrNoRoom
+			}
+			d.took += need
+		}
 		return forward.Answer{}, false, nil
 	case err != nil:
 		return forward.Answer{}, false, forward.ErrGarbage
 	}
+	d.Drop()
 	rest := d.in.Len() + d.rd.Buffered()
 	copy(d.buf, all[len(all)-rest:])
 	if d.end = rest; rest == 0 && len(d.buf) > chunk {
@@ -105,6 +116,11 @@
 	return a, true, nil
 }
 
+func (d *decoder) Drop() {
+	d.room.Give(d.took)
+	d.took, d.want = 0, 0
+}
+
 // errMore says that the response has not come whole.
 var errMore = errors.New("more bytes are wanted")
 
@@ -149,7 +165,8 @@
 
 // body reads the body into a buffer of its own, as the answer outlives the decoder's.
 func (d *decoder) body(resp *http.Response, ended bool) ([]byte, error) {
-	if resp.ContentLength > maxBody {
+	most := d.room.Most()
+	if resp.ContentLength > int64(most) {
 		return nil, forward.ErrGarbage
 	}
 	if n := resp.ContentLength; n >= 0 {
@@ -161,9 +178,9 @@
 		_, err := io.ReadFull(resp.Body, body)
 		return body, more(err)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(most)+1))
 	switch {
-	case len(body) > maxBody:
+	case len(body) > most:
 		return nil, forward.ErrGarbage
 	case err != nil:
 		return nil, more(err)
--- a/internal/target/resp.go
+++ b/internal/target/resp.go
@@ -7,9 +7,8 @@
 	"shelfproxy/internal/forward"
 )
 
-// Bounds of an answer. Past them it is garbage, and nothing of its size is allocated.
+// Bounds of an answer. Past them it is garbage, and nothing of its size is allocated. That of a value is told to the codec.
 const (
-	maxBulk  = 64 << 10 // of a value; one that is said to be larger may never end
 	maxItems = 3
 	maxLine  = 512
 	maxCount = 16 // of a line that gives a count or a length
@@ -23,10 +22,10 @@
 	items []reply
 }
 
-// parse reads one value from the start of b and returns how many bytes it took, 0 if b does not hold all of it
-// yet. redcon.ReadNextRESP is not used here: it does not tell a broken value from a part of one, and a length
+// parse reads one value from the start of b, with no string longer than most, and returns how many bytes it took; 0 if b does
+// not hold all of it yet, and less than 0 where so many bytes at least are wanted in all. redcon.ReadNextRESP is not used here: it does not tell a broken value from a part of one, and a length
 // near the largest integer makes it panic.
-func parse(b []byte, depth int) (reply, int, error) {
+func parse(b []byte, depth, most int) (reply, int, error) {
 	line := b[:min(len(b), maxLine)]
 	if len(b) > 0 && (b[0] == '$' || b[0] == '*' || b[0] == ':') {
 		line = b[:min(len(b), maxCount)]
@@ -51,7 +50,7 @@
 		return reply{}, 0, forward.ErrGarbage
 	}
 	n, err := strconv.Atoi(string(v.data))
-	if err != nil || n < -1 || v.kind == '$' && n > maxBulk || v.kind == '*' && (n > maxItems || depth > 0) {
+	if err != nil || n < -1 || v.kind == '$' && n > most || v.kind == '*' && (n > maxItems || depth > 0) {
 		return reply{}, 0, forward.ErrGarbage
 	}
 	if v.data = nil; n < 0 {
@@ -60,7 +59,7 @@
 	}
 	if v.kind == '$' {
 		if len(b) < at+n+2 {
-			return reply{}, 0, nil
+			return reply{}, -(at + n + 2), nil
 		}
 		if b[at+n] != '\r' || b[at+n+1] != '\n' {
 			return reply{}, 0, forward.ErrGarbage
@@ -69,9 +68,12 @@
 		return v, at + n + 2, nil
 	}
 	for range n {
-		item, took, err := parse(b[at:], depth+1)
-		if err != nil || took == 0 {
-			return reply{}, 0, err
+		item, took, err := parse(b[at:], depth+1, most)
+		if took < 0 {
+			took -= at
+		}
+		if err != nil || took <= 0 {
+			return reply{}, took, err
 		}
 		v.items = append(v.items, item)
 		at += took
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -12,7 +12,7 @@
 )
 
 // Codec writes the commands of cache servers and reads their answers.
-type Codec struct{}
+type Codec struct{ Room *forward.Room }
 
 // Append appends the command of a forward: as the client gave it, but with the time that is left as d.
 func (Codec) Append(b []byte, f *forward.Forward, now time.Time) []byte {
@@ -56,41 +56,71 @@
 var comma, wait = []byte{','}, []byte("d=")
 
 // NewDecoder returns a decoder of the answers on a connection.
-func (Codec) NewDecoder() forward.Decoder { return &decoder{} }
+func (c Codec) NewDecoder() forward.Decoder { return &decoder{room: c.Room} }
 
 // chunk is how much is read at once. Answers are slices of the chunk that they were read into; what was read is
 // never written over, as an answer may still be on its way to a client.
 const chunk = 16 << 10
 
 type decoder struct {
+	room       *forward.Room
 	buf        []byte
 	start, end int
+	want       int // bytes of the answer at start, where it is known to be longer than a chunk
+	took       int // of the room
 }
 
 func (d *decoder) Buffered() int { return d.end - d.start }
 
 func (d *decoder) Took(n int) { d.end += n }
 
-// Space is the rest of the chunk. An answer that no longer fits it moves to a new one.
+// Space is the rest of the chunk. An answer that no longer fits it moves to a new one, of its own size if that is known.
 func (d *decoder) Space() []byte {
-	if d.end == len(d.buf) {
+	if d.end == len(d.buf) || d.start+d.want > len(d.buf) {
 		part := d.buf[d.start:d.end]
-		d.buf = make([]byte, max(chunk, 2*len(part)))
+		size := max(chunk, 2*len(part))
+		if d.want > chunk {
+			size = d.want + maxLine // what comes behind the value, and a load report in it
+		}
+		d.buf = make([]byte, max(size, len(part)+1))
 		d.start, d.end = 0, copy(d.buf, part)
 	}
 	return d.buf[d.end:]
 }
 
 func (d *decoder) Next(bool) (forward.Answer, bool, error) {
-	v, n, err := parse(d.buf[d.start:d.end], 0)
-	if err != nil || n == 0 {
+	if d.end-d.start < d.want {
+		return forward.Answer{}, false, nil
+	}
+	v, n, err := parse(d.buf[d.start:d.end], 0, d.room.Most())
+	switch {
+	case err != nil || n == 0:
 		return forward.Answer{}, false, err
+	case n < 0:
+		if d.want = -n; d.want > chunk && d.took == 0 {
+			if !d.room.Take(d.want) {
+				return forward.Answer{}, false, forward.ErrNoRoom
+			}
+			d.took = d.want
+		}
+		return forward.Answer{}, false, nil
 	}
 	d.start += n
+	if d.want > chunk { // the buffer is the answer's
+		rest := d.buf[d.start:d.end]
+		d.buf = make([]byte, max(chunk, len(rest)+1))
+		d.start, d.end = 0, copy(d.buf, rest)
+	}
+	d.Drop()
 	a, err := answer(v)
 	return a, err == nil, err
 }
 
+func (d *decoder) Drop() {
+	d.room.Give(d.took)
+	d.took, d.want = 0, 0
+}
+
 var busy = []byte("BUSY")
 
 func answer(v reply) (forward.Answer, error) {
