Play whole fleets on a virtual clock, with faults drawn by seeds and every rule checked after every step

Change: internal/lab/sim drives the real cores of nodes (loop and module, listener, pools, decoders, watch) against the lab's model of boxes, origin and discovery over simulated streams and datagrams: one goroutine, one seed, no wall clock. A seed switches on some of 43 parts (faults of boxes, origin, roster and nodes' processes, of streams, datagrams and clients), half of them within a moment of each other. Checked: the service's rules, and by the simulation itself never-ran, order, leak, liveness, deaf, refused, rude, crash, and what clients saw of each record (porcupine). shelflab simulate plays, replays, traces and shrinks seeds. What the model says is worded in internal/lab/wording for the emulator and the simulation alike.

Found by it, seed 53: a request that waits for a flight was woken a part of a microsecond before its deadline, as park cut its time down to whole microseconds, and parked again for the same moment, over and over until the clock moved on; on a clock that stands still for ever. park rounds up now (TestWokenWhenItIsTime).

The same seed gives the same log with one and six processors, alone and beside others (TestReplayIsExact).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -401,7 +401,8 @@
 }
 
 func (r *Router) park(q *request, until Time) {
-	q.parked, q.wake = true, min(until, r.latest(q)).Truncate(time.Microsecond)
+	// Whole microseconds, and none too early: what is woken before its time would be parked again at once.
+	q.parked, q.wake = true, (min(until, r.latest(q)) + time.Microsecond - 1).Truncate(time.Microsecond)
 	r.act(SetTimer{At: q.wake, Token: q.ID})
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1010,3 +1010,32 @@
 		}
 	}
 }
+
+// TestWokenWhenItIsTime: a request that waits is woken at its time and not before: one that was woken a part of a microsecond
+// early waited anew for the same moment, and again, for as long as the clock stood there. Found by the simulation, seed 53.
+func TestWokenWhenItIsTime(t *testing.T) {
+	b := learnt(t)
+	b.now += 101 // deadlines are no whole microseconds
+	leader, _ := b.ask("high", "k", nil)
+	b.end(leader, Miss, ms)
+	waits, actions := b.ask("high", "k", nil)
+	if len(find[Send](actions)) > 0 {
+		actions = b.end(waits, Miss, ms)
+	}
+	for _, set := range find[SetTimer](actions) {
+		if set.Token != waits {
+			continue
+		}
+		b.now = set.At
+		for _, again := range find[SetTimer](b.do(Timer{Token: waits})) {
+			if again.At <= b.now {
+				t.Fatalf("woken at %v, it waits for %v", b.now, again.At)
+			}
+		}
+		if q := b.r.requests[waits]; q != nil && q.parked {
+			t.Fatalf("at %v it still waits, until %v", b.now, q.wake)
+		}
+		return
+	}
+	t.Fatalf("it does not wait: %v", actions)
+}
--- a/cmd/shelflab/main.go
+++ b/cmd/shelflab/main.go
@@ -66,7 +66,7 @@
 		Version: version(), SilenceUsage: true, SilenceErrors: true,
 	}
 	root.AddCommand(overheadCommands()...)
-	root.AddCommand(demoCommand(), emulateCommand(), loadCommand(), traceCommand(), checkCommand(), listCommand())
+	root.AddCommand(demoCommand(), emulateCommand(), simulateCommand(), loadCommand(), traceCommand(), checkCommand(), listCommand())
 	return root
 }
 
--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -188,9 +188,8 @@
 	// Decoder is where the shell puts what it reads, between calls of Received.
 	Decoder Decoder
 
-	shared  bool     // counted in the budget
-	only    *Forward // it was dialed for
-	up      bool
+	shared  bool       // counted in the budget
+	only    *Forward   // it was dialed for
 	pending []*Forward // in the order of their answers
 	queue   []*Forward // of pending, those that are not written yet
 	writing *Forward   // its bytes are on their way out
@@ -203,6 +202,9 @@
 // read already can be no answer to it.
 func (c *Conn) Quiet() bool { return len(c.queue) > 0 && len(c.pending) == 1 }
 
+// Pending is how many forwards are on it.
+func (c *Conn) Pending() int { return len(c.pending) }
+
 // Closed tells whether it has ended.
 func (c *Conn) Closed() bool { return c.closed }
 
@@ -234,6 +236,14 @@
 // Waits is how many forwards wait for a connection.
 func (p *Core) Waits() int { return len(p.waiting) }
 
+// Pending is how many forwards are on connections.
+func (p *Core) Pending() (n int) {
+	for _, c := range p.conns {
+		n += len(c.pending)
+	}
+	return n
+}
+
 // Send starts a forward. When it returns false the forward has ended already, as the End says.
 func (p *Core) Send(now time.Time, f *Forward, fx *Effects) (End, bool) {
 	if p.left {
@@ -435,7 +445,7 @@
 		}
 		return
 	}
-	c.up, c.Decoder = true, p.codec.NewDecoder()
+	c.Decoder = p.codec.NewDecoder()
 	p.conns = append(p.conns, c)
 	if only != nil && !p.left {
 		p.push(c, only, fx)
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -21,6 +21,7 @@
 	"shelfproxy/internal/lab/relay"
 	"shelfproxy/internal/lab/rules"
 	"shelfproxy/internal/lab/scenario"
+	"shelfproxy/internal/lab/wording"
 )
 
 // Options say what is played and how.
@@ -47,7 +48,7 @@
 }
 
 func (w watcher) Answered(id string, kind rules.Final, value []byte) {
-	madeFor := emulate.MadeFor(value)
+	madeFor := wording.MadeFor(value)
 	w.em.Tell(func(now time.Duration, check *rules.Checker) { check.Answered(now, id, kind, madeFor) })
 }
 
--- a/internal/lab/emulate/configs.go
+++ b/internal/lab/emulate/configs.go
@@ -57,7 +57,7 @@
 // WriteConfig writes the configuration of one node anew, with the list as it is now and another seed, as before a
 // restart.
 func (e *Emulator) WriteConfig(c NodeConfig) error {
-	var known list
+	var known json.RawMessage
 	if !e.Do(func(_ time.Duration, p *model.Portal, _ *rules.Checker) { known = e.wire(p.List(), c.Number) }) {
 		return fmt.Errorf("the emulator has ended")
 	}
@@ -70,7 +70,7 @@
 
 type object = map[string]any
 
-func (e *Emulator) config(c NodeConfig, known list) object {
+func (e *Emulator) config(c NodeConfig, known json.RawMessage) object {
 	p, us := e.plan, func(d time.Duration) int64 { return d.Microseconds() }
 	var lanes []object
 	for _, cl := range p.Class {
--- a/internal/lab/emulate/conn.go
+++ b/internal/lab/emulate/conn.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 	"github.com/tidwall/redcon"
 
 	"shelfproxy/internal/lab/model"
+	"shelfproxy/internal/lab/wording"
 )
 
 // conn is a connection from a node to a box or the origin. One goroutine reads requests, another writes answers in
@@ -134,7 +134,7 @@
 func (c *conn) takeRESP(cmd redcon.Command) bool {
 	switch name := strings.ToUpper(string(cmd.Args[0])); name {
 	case "CACHE.GET", "CACHE.SET":
-		q, why := c.e.request(name == "CACHE.SET", cmd.Args)
+		q, why := wording.Request(c.e.classes, name == "CACHE.SET", cmd.Args)
 		if why != "" {
 			c.e.malformed(c, why)
 			return c.say(redcon.AppendError(nil, "SYNTAX "+why), false)
@@ -227,9 +227,9 @@
 	for _, s := range c.slots {
 		if s.seq == a.Seq {
 			if s.http {
-				s.out, s.last = httpAnswer(s.id, a)
+				s.out, s.last = wording.HTTP(s.id, a)
 			} else {
-				s.out = respAnswer(s.id, a)
+				s.out = wording.RESP(s.id, a)
 			}
 			s.ready, s.spoilt = true, a.Spoilt
 			c.ready.Broadcast()
@@ -291,11 +291,11 @@
 		if err != nil {
 			if _, broken := err.(net.Error); !broken && err != io.EOF && err != io.ErrUnexpectedEOF {
 				c.e.malformed(c, err.Error())
-				c.say(httpText("400 Bad Request", "", "", true), true)
+				c.say(wording.Text("400 Bad Request", "", "", true), true)
 			}
 			return
 		}
-		body, err := io.ReadAll(io.LimitReader(req.Body, maxValue+1))
+		body, err := io.ReadAll(io.LimitReader(req.Body, wording.MaxValue+1))
 		if err != nil {
 			return
 		}
@@ -313,67 +313,16 @@
 	case path == "/metrics/load" && req.Method == http.MethodGet:
 		return c.probe(true, true)
 	case req.Method != http.MethodGet && req.Method != http.MethodPut:
-		return c.say(httpText("405 Method Not Allowed", "", "", false), false)
+		return c.say(wording.Text("405 Method Not Allowed", "", "", false), false)
 	}
 	args := [][]byte{nil, []byte(strings.TrimPrefix(path, "/")), []byte(req.Header.Get("X-Request-Id")), []byte(req.Header.Get("X-Extras"))}
 	if req.Method == http.MethodPut {
 		args = append(args, body)
 	}
-	q, why := c.e.request(req.Method == http.MethodPut, args)
+	q, why := wording.Request(c.e.classes, req.Method == http.MethodPut, args)
 	if why != "" {
 		c.e.malformed(c, why)
-		return c.say(httpText("400 Bad Request", "", why, false), false)
+		return c.say(wording.Text("400 Bad Request", "", why, false), false)
 	}
 	return c.attempt(q, true)
 }
-
-// maxValue is the longest value, by the protocol.
-const maxValue = 64 << 10
-
-// request reads a command: its name, key, id, the list of names and values, and the value of a write.
-func (e *Emulator) request(write bool, args [][]byte) (q model.Request, why string) {
-	want := 4
-	if write {
-		want = 5
-	}
-	if len(args) != want {
-		return q, "wrong number of arguments"
-	}
-	q = model.Request{Key: string(args[1]), ID: string(args[2]), Write: write}
-	if q.Key == "" || q.ID == "" || strings.ContainsAny(q.ID, " \r\n") {
-		return q, "no key or no id"
-	}
-	if write {
-		if q.Size = len(args[4]); q.Size > maxValue {
-			return q, "value is too large"
-		}
-	}
-	for pair := range strings.SplitSeq(string(args[3]), ",") {
-		name, value, ok := strings.Cut(pair, "=")
-		if !ok {
-			return q, "bad list of names and values"
-		}
-		switch name {
-		case "c":
-			q.Class = value
-		case "d":
-			ms, err := strconv.Atoi(value)
-			if err != nil || ms <= 0 {
-				return q, "bad d"
-			}
-			q.Until = time.Duration(ms) * time.Millisecond // from now; attempt adds the time
-		case "k":
-			q.Once = value
-		}
-	}
-	class, ok := e.classes[q.Class]
-	switch {
-	case !ok:
-		return q, "unknown class"
-	case q.Until == 0:
-		return q, "d is missing"
-	case class.Write != write:
-		return q, "the class does not go with the command"
-	}
-	return q, ""
-}
--- a/internal/lab/emulate/discovery.go
+++ b/internal/lab/emulate/discovery.go
@@ -1,13 +1,13 @@
 package emulate
 
 import (
-	"encoding/json"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"shelfproxy/internal/lab/model"
+	"shelfproxy/internal/lab/wording"
 )
 
 // discovery is the discovery service as one node reaches it. All of them tell of one roster.
@@ -50,36 +50,10 @@
 	d.ln.Close()
 }
 
-// instance is an entry in the form of the protocol.
-type instance struct {
-	ID      string  `json:"instanceId"`
-	Addr    string  `json:"hostPort"`
-	Zone    string  `json:"zone"`
-	Kind    string  `json:"machineType"`
-	Cell    int     `json:"cell"`
-	State   string  `json:"lifecycle"`
-	Weight  float64 `json:"weight"`
-	Started int64   `json:"startedAtMs"`
-}
-
-// list is a list in the form of the protocol.
-type list struct {
-	Version   int64      `json:"generation"`
-	Whole     bool       `json:"reset"`
-	Instances []instance `json:"instances"`
-}
-
 // wire words a list as a node is told it.
-func (e *Emulator) wire(l model.List, node int) list {
-	out := list{Version: l.Version, Whole: l.Whole, Instances: []instance{}}
-	for _, s := range l.Entries {
-		in := instance{ID: s.ID, Addr: e.addr(s.Slot, node), Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, State: s.State.String(), Weight: 1}
-		if s.Started > 0 {
-			in.Started = e.start.Add(s.Started).UnixMilli()
-		}
-		out.Instances = append(out.Instances, in)
-	}
-	return out
+func (e *Emulator) wire(l model.List, node int) []byte {
+	return wording.List(l, func(slot int) string { return e.addr(slot, node) },
+		func(at time.Duration) int64 { return e.start.Add(at).UnixMilli() })
 }
 
 func (d *discovery) hosts(w http.ResponseWriter, r *http.Request) {
@@ -125,11 +99,7 @@
 			begun = true
 			line := []byte{'\n'}
 			if t.List != nil {
-				text, err := json.Marshal(e.wire(*t.List, d.node))
-				if err != nil {
-					panic(http.ErrAbortHandler)
-				}
-				line = append(text, '\n')
+				line = append(e.wire(*t.List, d.node), '\n')
 			}
 			if _, err := w.Write(line); err != nil || t.Ends {
 				return
--- a/internal/lab/emulate/emulate_test.go
+++ b/internal/lab/emulate/emulate_test.go
@@ -21,11 +21,27 @@
 	"shelfproxy/internal/lab/model"
 	"shelfproxy/internal/lab/rules"
 	"shelfproxy/internal/lab/scenario"
+	"shelfproxy/internal/lab/wording"
 )
 
 // patience is generous: it only bounds how long a failing test takes.
 const patience = 20 * time.Second
 
+// list is a list as nodes read it.
+type list struct {
+	Version   int64      `json:"generation"`
+	Whole     bool       `json:"reset"`
+	Instances []instance `json:"instances"`
+}
+
+type instance struct {
+	ID      string `json:"instanceId"`
+	Addr    string `json:"hostPort"`
+	Kind    string `json:"machineType"`
+	State   string `json:"lifecycle"`
+	Started int64  `json:"startedAtMs"`
+}
+
 // rig is an emulator that a test speaks to as a node would.
 type rig struct {
 	t    *testing.T
@@ -169,7 +185,7 @@
 		t.Fatal(err)
 	}
 	body, _ := io.ReadAll(resp.Body)
-	if resp.StatusCode != 200 || MadeFor(body) != "id1" || !strings.Contains(resp.Header.Get("X-Load"), "inflight=") {
+	if resp.StatusCode != 200 || wording.MadeFor(body) != "id1" || !strings.Contains(resp.Header.Get("X-Load"), "inflight=") {
 		t.Errorf("the origin answers %d %v %.40q", resp.StatusCode, resp.Header, body)
 	}
 	box.send("CACHE.GET", "k", "id2", "c=read,d=900")
@@ -187,7 +203,7 @@
 		t.Fatalf("the write: %v %v", resp, err)
 	}
 	body, _ = io.ReadAll(resp.Body)
-	if MadeFor(body) != "id3" {
+	if wording.MadeFor(body) != "id3" {
 		t.Errorf("the receipt is %q", body)
 	}
 	box.send("CACHE.GET", "k", "id4", "c=read,d=900")
@@ -384,8 +400,8 @@
 	seen := map[string]model.SpoiltKind{}
 	for k := model.Sound; k <= model.SpoiltReport; k++ {
 		a.Spoilt = k
-		h, _ := httpAnswer("id", a)
-		for form, text := range map[string]string{"RESP": string(respAnswer("id", a)), "HTTP": string(h)} {
+		h, _ := wording.HTTP("id", a)
+		for form, text := range map[string]string{"RESP": string(wording.RESP("id", a)), "HTTP": string(h)} {
 			if other, ok := seen[form+text]; ok {
 				t.Errorf("%s: kinds %d and %d are the same", form, k, other)
 			}
@@ -446,7 +462,7 @@
 		b.Fatal(err)
 	}
 	var l list
-	e.Do(func(_ time.Duration, p *model.Portal, _ *rules.Checker) { l = e.wire(p.List(), 0) })
+	e.Do(func(_ time.Duration, p *model.Portal, _ *rules.Checker) { json.Unmarshal(e.wire(p.List(), 0), &l) })
 	cpu := func() time.Duration {
 		var u syscall.Rusage
 		syscall.Getrusage(syscall.RUSAGE_SELF, &u)
--- /dev/null
+++ b/internal/lab/sim/mutants_test.go
@@ -0,0 +1,83 @@
+package sim
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+var mutants = flag.Bool("sim.mutants", false, "build the program with each of its known faults and see that simulate finds it")
+
+// mutant is a build that is known to be broken: one text of a file replaced by another.
+type mutant struct {
+	name, file, old, new string
+	also                 *mutant // where two places guard the same rule
+}
+
+var known = []mutant{
+	{"resent after it may have run", "brain/brain.go", "if q.risk == nil || q.class.Effect == Safe {", "if q != nil {", nil},
+	{"refused after it may have run", "brain/brain.go", "if q.risk == nil || c.Effect == Safe || c.Effect == Keyed && c.Group == AllServers {", "if c != nil {", nil},
+	{"drained servers get new work", "brain/router.go", "return !origin && s.listed && s.State == Live", "return !origin && s.listed",
+		&mutant{file: "internal/forward/core.go", old: "p.addr, p.left = addr, left", new: "left = false\n\tp.addr, p.left = addr, left"}},
+	{"watch never found silent", "internal/discovery/follower.go", "silence      = 5 * time.Second", "silence      = 5 * time.Hour", nil},
+	{"answered twice", "internal/listener/core.go", "c.slots = append(c.slots[:0:0], c.slots[n:]...)", "c.slots = append(c.slots[:0:0], c.slots[n-1:]...)", nil},
+	{"deadline too late", "internal/node/core.go", "deadline: f.Taken.Add(max(wait-transit, time.Millisecond))", "deadline: f.Taken.Add(wait + 200*time.Millisecond)", nil},
+	{"dirty connection handed on", "internal/forward/core.go", "case c.Decoder.Buffered() > 0 && (len(c.pending) == 0 || !c.pending[0].written):", "case c == nil:",
+		&mutant{file: "internal/forward/core.go", old: "if len(c.pending) == 0 || !c.pending[0].written {", new: "if len(c.pending) == 0 {",
+			also: &mutant{file: "internal/forward/core.go", old: "if stale && c.Quiet() {", new: "if c == nil {"}}},
+	{"waiter not woken", "internal/forward/core.go", "case len(p.waiting) > 0:\n\t\tp.push(c, p.pop(), fx)", "case len(p.waiting) > 1000:\n\t\tp.push(c, p.pop(), fx)", nil},
+	{"request ids leak", "internal/node/core.go", "delete(n.ids, string(s.ID))", "", nil},
+	{"said never to have run", "internal/forward/core.go", "if !whole {\n\t\tf.written = false", "if f != nil {\n\t\tf.written = false", nil},
+	{"room of long answers leaks", "internal/target/target.go", "d.room.Give(d.took)", "d.room.Give(0)", nil},
+	{"garbage of clients is not answered", "internal/listener/core.go", "l.finish(now, c, fx)\n\t\t\tl.wake(c, fx)", "", nil},
+	{"given up as if not written", "internal/forward/core.go", "p.next(now, c, fx)\n\treturn f.written", "p.next(now, c, fx)\n\treturn false", nil},
+}
+
+// TestMutants shows that simulate finds known faults, and within how many seeds.
+func TestMutants(t *testing.T) {
+	if !*mutants {
+		t.Skip("without -sim.mutants")
+	}
+	root, err := filepath.Abs("../../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range known {
+		dir := t.TempDir()
+		if out, err := exec.Command("cp", "-r", filepath.Join(root, "brain"), filepath.Join(root, "cmd"), filepath.Join(root, "internal"),
+			filepath.Join(root, "lab"), filepath.Join(root, "go.mod"), filepath.Join(root, "go.sum"), dir).CombinedOutput(); err != nil {
+			t.Fatal(string(out))
+		}
+		for change := &m; change != nil; change = change.also {
+			path := filepath.Join(dir, change.file)
+			text, err := os.ReadFile(path)
+			if err != nil || strings.Count(string(text), change.old) != 1 {
+				t.Fatalf("%s: %q stands %d times in %s", m.name, change.old, strings.Count(string(text), change.old), change.file)
+			}
+			os.WriteFile(path, []byte(strings.Replace(string(text), change.old, change.new, 1)), 0o600)
+		}
+		build := exec.Command("go", "build", "-o", "shelflab", "./cmd/shelflab")
+		build.Dir = dir
+		if out, err := build.CombinedOutput(); err != nil {
+			t.Fatalf("%s: %s", m.name, out)
+		}
+		out, err := exec.Command(filepath.Join(dir, "shelflab"), "simulate", "--seeds", "2000", "--first").CombinedOutput()
+		first, what := 0, ""
+		for line := range strings.Lines(string(out)) {
+			var seed int
+			if _, found, ok := strings.Cut(line, "BROKEN "); ok && what == "" {
+				fmt.Sscanf(line, "seed %d:", &seed)
+				first, what = seed+1, strings.Fields(found)[0]
+			}
+		}
+		if err == nil || what == "" {
+			t.Errorf("%s: not found in 2000 seeds", m.name)
+			continue
+		}
+		t.Logf("| %s | %d | `%s` |", m.name, first, what)
+	}
+}
--- /dev/null
+++ b/internal/lab/sim/node.go
@@ -0,0 +1,434 @@
+package sim
+
+import (
+	"log/slog"
+	"strconv"
+	"time"
+
+	"shelfproxy/brain"
+	"shelfproxy/internal/counters"
+	"shelfproxy/internal/discovery"
+	"shelfproxy/internal/flow"
+	"shelfproxy/internal/forward"
+	"shelfproxy/internal/lab/wording"
+	"shelfproxy/internal/listener"
+	nodecore "shelfproxy/internal/node"
+	"shelfproxy/internal/origin"
+	"shelfproxy/internal/target"
+
+	"github.com/valyala/fastjson"
+)
+
+// node is one node: the cores of its process of the moment, and what stands in for their shells. Every delay that a goroutine
+// could make is drawn.
+type node struct {
+	w     *world
+	index int
+	life  int // of its process: what an earlier one booked does nothing
+	up    bool
+	takes bool          // new connections come in
+	skew  time.Duration // of its process's date
+
+	core   *nodecore.Core
+	front  *listener.Core
+	pools  []*pool
+	conns  []*frontConn // open, in the order in which they came
+	long   *forward.Room
+	due    Time // when the core is looked at next; 0 is not booked
+	listAt Time // when the last news of the list is taken
+	heard  Time // when discovery last said something
+	count  *counters.Counters
+}
+
+// frontConn is a client's connection at the node.
+type frontConn struct {
+	n       *node
+	life    int
+	end     *end
+	core    *listener.Conn
+	inbox   []byte
+	reading bool
+	eof     bool
+	writing bool
+}
+
+func newNode(w *world, index int) *node { return &node{w: w, index: index} }
+
+// now is the node's clock.
+func (n *node) now() time.Time { return epoch.Add(n.skew + n.w.now) }
+
+// simTime is a time of the node's clock as one of the run.
+func (n *node) simTime(t time.Time) Time { return t.Sub(epoch) - n.skew }
+
+// lag is how long a goroutine of the node takes to run, once it may.
+func (n *node) lag() time.Duration { return n.w.between(0, n.w.plan.Net.Lag) }
+
+// later books work of the process that runs now.
+func (n *node) later(d time.Duration, run func()) {
+	life := n.life
+	n.w.after(d, func() {
+		if n.life == life {
+			run()
+		}
+	})
+}
+
+// start starts a process.
+func (n *node) start() {
+	w, p := n.w, n.w.plan
+	n.life++
+	n.up, n.takes, n.due, n.listAt, n.heard = true, true, 0, 0, w.now
+	n.skew = w.between(-p.Net.Skew, p.Net.Skew)
+	n.pools, n.conns = nil, nil
+	w.note("start", strconv.Itoa(n.index))
+	w.check.Restarted(n.index)
+	var names []string
+	for _, c := range p.Class {
+		names = append(names, c.Name)
+	}
+	ends := make([]string, forward.Ends())
+	for i := range ends {
+		ends[i] = forward.End(i).String()
+	}
+	n.count = counters.New(names, flow.Kinds(), ends)
+	n.long = forward.NewRoom(p.Nodes.MemoryMB<<20/8, p.Nodes.MemoryMB<<20/32)
+	targets, origins := forward.NewBudget(p.Nodes.Sockets/3), forward.NewBudget(max(1, p.Nodes.Sockets/10))
+	v, err := fastjson.ParseBytes(wording.List(w.portal.List(), func(slot int) string { return address(slot, n.index) }, unixMs))
+	if err != nil {
+		panic(err)
+	}
+	known, err := discovery.Parse(v)
+	if err != nil {
+		panic(err)
+	}
+	limits := forward.Limits{Connect: p.Nodes.ConnectTimeout.D(), Idle: p.Nodes.ConnectionIdle.D() * 8 / 10, Streams: p.Nodes.Streams, Conns: 16,
+		Waiting: 64, Share: p.Net.Share}
+	originLimits := limits
+	originLimits.Streams, originLimits.Conns = 1, p.Nodes.Sockets
+	module := p.Module(n.index)
+	life := n.life
+	n.core, err = nodecore.NewCore(nodecore.Options{Module: module, Seed: p.Seed*1000 + uint64(n.index*100+n.life), MaxOpen: p.Nodes.MaxOpen,
+		MaxHeld: p.Nodes.MemoryMB << 20 / 4, MaxWait: p.longestWait(), Known: known, Source: source{n, n.life}, Count: n.count,
+		Log: slog.New(slog.DiscardHandler), Tell: n.tell,
+		Upstream: func(s discovery.Server, isOrigin bool, report func(*forward.Forward, forward.Answer)) nodecore.Upstream {
+			u := &pool{n: n, life: life, id: s.ID, report: report, wrote: map[*forward.Forward]*serverConn{}}
+			if isOrigin {
+				u.codec = origin.Codec{Host: s.Addr, Room: n.long}
+				u.core = forward.NewCore(s.Addr, u.codec, originLimits, origins)
+			} else {
+				u.codec = target.Codec{Room: n.long}
+				u.core = forward.NewCore(s.Addr, u.codec, limits, targets)
+			}
+			n.pools = append(n.pools, u)
+			return u
+		}}, nodecore.Owner{Now: n.now, Report: n.landed, List: n.list})
+	if err != nil {
+		panic(err)
+	}
+	n.front = listener.NewCore(n.now(), names, nil, listener.Limits{Conns: p.Nodes.Sockets / 2, Pipelined: 8, Value: 64 << 10, Write: 10 * time.Second,
+		Silent: 2500 * time.Millisecond, Idle: time.Minute, Crowd: 50 * time.Millisecond, Owed: p.Nodes.MemoryMB << 20 / 6}, n.count)
+	n.front.Reply = func(c *listener.Conn, s *listener.Slot, r flow.Response) {
+		var fx listener.Effects
+		n.front.Answer(n.now(), c, s, r, &fx)
+		n.carry(fx)
+	}
+	n.core.Begin()
+	n.arm()
+	n.sweep()
+}
+
+// arm books the next look at the core.
+func (n *node) arm() {
+	at, ok := n.core.Next()
+	if !ok {
+		return
+	}
+	t := max(n.simTime(at), n.w.now)
+	if n.due > 0 && n.due <= t {
+		return
+	}
+	n.due = t
+	n.later(t-n.w.now, func() {
+		if n.due == t {
+			n.due = 0
+		}
+		n.core.Due()
+		n.arm()
+	})
+}
+
+func (n *node) sweep() {
+	var fx listener.Effects
+	next := n.front.Sweep(n.now(), &fx)
+	n.carry(fx)
+	n.later(next, n.sweep)
+}
+
+// landed takes the end of a forward from a pool, in the loop's turn.
+func (n *node) landed(f *forward.Forward, a forward.Answer) {
+	n.later(n.lag(), func() {
+		n.core.Landed(f, a)
+		n.arm()
+	})
+}
+
+// list has the core take news of the list, in the order in which they came.
+func (n *node) list(f func()) {
+	n.listAt = max(n.listAt, n.w.now+n.lag())
+	n.later(n.listAt-n.w.now, func() {
+		f()
+		n.arm()
+	})
+}
+
+// tell sends a datagram to all other nodes.
+func (n *node) tell(data []byte) error {
+	w := n.w
+	for _, o := range w.nodes {
+		if o == n || w.chance(w.plan.Net.Lost) {
+			continue
+		}
+		text := append([]byte(nil), data...)
+		if w.chance(w.plan.Net.Garbled) {
+			text[w.rng.IntN(len(text))] ^= 1 << w.rng.IntN(8)
+		}
+		times := 1
+		if w.chance(w.plan.Net.Twice) {
+			times = 2
+		}
+		for range times {
+			w.after(w.between(time.Millisecond, 30*time.Millisecond), func() {
+				if o.up {
+					o.core.Tell(brain.Heard{From: n.index, Data: text})
+					o.arm()
+				}
+			})
+		}
+	}
+	return nil
+}
+
+// accept takes a client's connection; nil where nobody listens.
+func (n *node) accept() *end {
+	if !n.up || !n.takes {
+		return nil
+	}
+	near, far := n.w.pipe(n.w.plan.Net.ToNode, n.w.plan.Net.ToClient)
+	c := &frontConn{n: n, life: n.life, end: far, core: n.front.Accepted(n.now())}
+	c.core.Socket = c
+	far.data = func(b []byte, _ Time) {
+		if n.life == c.life {
+			c.inbox = append(c.inbox, b...)
+			c.wake()
+		}
+	}
+	far.ended = func(bool) {
+		if n.life == c.life {
+			c.eof = true
+			c.wake()
+		}
+	}
+	n.conns = append(n.conns, c)
+	var fx listener.Effects
+	n.front.Room(n.now(), &fx)
+	n.carry(fx)
+	return near
+}
+
+// wake has the connection's reader run.
+func (c *frontConn) wake() {
+	if !c.reading {
+		c.reading = true
+		c.n.later(c.n.lag(), c.read)
+	}
+}
+
+// read moves what came to the core.
+func (c *frontConn) read() {
+	c.reading = false
+	for len(c.inbox) > 0 && !c.core.Closed() && !c.core.Paused() {
+		var fx listener.Effects
+		k := copy(c.core.Space(), c.inbox)
+		c.inbox = c.inbox[k:]
+		c.n.front.Received(c.n.now(), c.core, k, &fx)
+		c.n.carry(fx)
+	}
+	if c.eof && len(c.inbox) == 0 && !c.core.Closed() && !c.core.Paused() {
+		var fx listener.Effects
+		c.n.front.Ended(c.n.now(), c.core, &fx)
+		c.n.carry(fx)
+	}
+}
+
+// carry carries out what the clients' side wants done.
+func (n *node) carry(fx listener.Effects) {
+	for _, e := range fx {
+		switch e.Kind {
+		case listener.Take:
+			n.w.clients.taken(n.index, string(e.Flow.ID), e.Flow.Class)
+			n.core.Take(e.Flow)
+			n.arm()
+		case listener.Gone:
+			n.core.Gone(e.Flow)
+			n.arm()
+		case listener.Write:
+			c := e.Conn.Socket.(*frontConn)
+			n.later(n.lag(), c.write)
+		case listener.Read:
+			c := e.Conn.Socket.(*frontConn)
+			var more listener.Effects
+			n.front.Continue(n.now(), c.core, &more)
+			n.carry(more)
+			c.wake()
+		case listener.Shut:
+			c := e.Conn.Socket.(*frontConn)
+			c.end.close()
+			for i, o := range n.conns {
+				if o == c {
+					n.conns = append(n.conns[:i], n.conns[i+1:]...)
+					break
+				}
+			}
+		}
+	}
+}
+
+// write moves answers to the client.
+func (c *frontConn) write() {
+	if c.writing || c.core.Closed() {
+		return
+	}
+	out, size := c.n.front.Pull(c.core, nil)
+	if size == 0 {
+		return
+	}
+	c.writing = true
+	var all []byte
+	for _, b := range out {
+		all = append(all, b...)
+	}
+	c.n.later(c.n.lag(), func() {
+		c.writing = false
+		if c.core.Closed() {
+			return
+		}
+		good := !c.end.dead
+		c.end.write(all)
+		var fx listener.Effects
+		c.n.front.Wrote(c.n.now(), c.core, good, &fx)
+		c.n.carry(fx)
+	})
+}
+
+// NodeFaultKind is what can happen to a node's process.
+type NodeFaultKind int
+
+// The kinds.
+const (
+	KillNode   NodeFaultKind = iota // at once; another process starts some time later
+	TermNode                        // told to end; another one starts when it has
+	ReloadNode                      // its discovery moves
+	numberOfNodeFaults
+)
+
+var nodeFaultNames = [numberOfNodeFaults]string{"kill-node", "term-node", "reload-node"}
+
+func (k NodeFaultKind) String() string { return nodeFaultNames[k] }
+
+// NodeFault is one of them.
+type NodeFault struct {
+	Kind NodeFaultKind
+	Node int
+	At   Time
+	Away time.Duration // until the next process
+}
+
+// Times of an ending process, as cmd/shelfproxy has them by default; its last moments are not the cores' affair.
+const (
+	grace  = 600 * time.Millisecond
+	last   = 2100 * time.Millisecond
+	unsent = 200 * time.Millisecond
+)
+
+func (n *node) suffer(f NodeFault) {
+	if !n.up {
+		return
+	}
+	n.w.note(f.Kind.String(), strconv.Itoa(n.index))
+	switch f.Kind {
+	case KillNode:
+		n.w.report.Kills++
+		n.die()
+		n.w.after(f.Away, n.start)
+	case TermNode:
+		if !n.takes {
+			return
+		}
+		n.w.report.Restarts++
+		n.later(grace, func() {
+			n.takes = false
+			var fx listener.Effects
+			n.front.Drain(n.now(), &fx)
+			n.carry(fx)
+			n.core.Drain(n.now().Add(last - grace))
+			n.arm()
+			n.ending(n.w.now+last-grace+unsent, f.Away)
+		})
+	case ReloadNode:
+		n.core.Follow(source{n, n.life})
+		n.arm()
+	}
+}
+
+// ending waits until nothing is owed, and ends the process.
+func (n *node) ending(latest Time, away time.Duration) {
+	if n.core.Open() == 0 && len(n.conns) == 0 || n.w.now >= latest {
+		n.die()
+		n.w.after(away, n.start)
+		return
+	}
+	n.later(5*time.Millisecond, func() { n.ending(latest, away) })
+}
+
+// die ends the process: its connections are reset, and what it had booked does nothing.
+func (n *node) die() {
+	n.w.note("end", strconv.Itoa(n.index))
+	n.up, n.takes = false, false
+	n.life++
+	for _, c := range n.conns {
+		c.end.reset()
+	}
+	for _, p := range n.pools {
+		for _, s := range p.socks {
+			s.end.reset()
+		}
+	}
+	n.core.End() // a kernel hangs up what a process leaves open
+	n.conns, n.pools = nil, nil
+}
+
+// deafFor is longer than a node may be without a word of discovery: one that fell silent is found after 5 s, and asked anew
+// within a second or two.
+const deafFor = 9 * time.Second
+
+// leaks looks at what a process still holds when all is long over.
+func (n *node) leaks() {
+	if !n.up || !n.takes {
+		return
+	}
+	if quiet := n.w.now - n.heard; quiet > deafFor && n.w.plan.toldWithin() > 0 {
+		n.w.broken(Deaf, "node %d has heard nothing of discovery for %.1f s", n.index, quiet.Seconds())
+	}
+	flows, ids, _ := n.core.Held()
+	if flows > 0 || ids > 0 || n.core.Open() > 0 {
+		n.w.broken(Leak, "node %d holds %d flows and %d ids, %d open", n.index, flows, ids, n.core.Open())
+	}
+	for _, p := range n.pools {
+		if k := p.core.Waits() + p.core.Pending(); k > 0 {
+			n.w.broken(Leak, "node %d holds %d forwards for %s", n.index, k, p.id)
+		}
+	}
+	if left, all := n.long.Left(), n.w.plan.Nodes.MemoryMB<<20/8; left != all {
+		n.w.broken(Leak, "node %d has not given back %d bytes of long answers", n.index, all-left)
+	}
+}
--- /dev/null
+++ b/internal/lab/sim/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package sim
+
+func init() { seedsInCI = 60 }
--- /dev/null
+++ b/internal/lab/sim/sim_test.go
@@ -0,0 +1,85 @@
+package sim
+
+import (
+	"bytes"
+	"runtime"
+	"sync"
+	"testing"
+)
+
+// seedsInCI is how many seeds each run of the tests plays; the race detector's build plays a part of them.
+var seedsInCI = uint64(300)
+
+// TestSeeds plays fleets of which each seed breaks something else: every rule is kept in all of them.
+func TestSeeds(t *testing.T) {
+	var mu sync.Mutex
+	served, kills, next := 0, 0, uint64(0)
+	words := map[string]int{}
+	var workers sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		workers.Go(func() {
+			for {
+				mu.Lock()
+				seed := next
+				next++
+				mu.Unlock()
+				if seed >= seedsInCI {
+					return
+				}
+				r := Run(Draw(seed, nil), Options{})
+				mu.Lock()
+				served, kills = served+r.Served, kills+r.Kills+r.Restarts
+				for _, w := range r.Faults {
+					words[w]++
+				}
+				if len(r.Broken) > 0 {
+					t.Errorf("%s; shelflab simulate --replay %d shows it", r, seed)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	workers.Wait()
+	if uint64(served) < 200*seedsInCI || uint64(kills) < seedsInCI/4 {
+		t.Errorf("%d served, %d processes ended in %d runs: they tell little", served, kills, seedsInCI)
+	}
+	for _, p := range parts {
+		if words[p.name] == 0 {
+			t.Errorf("no seed had %s", p.name)
+		}
+	}
+}
+
+// TestReplayIsExact: a seed gives the same event log each time, byte for byte, beside others and alone.
+func TestReplayIsExact(t *testing.T) {
+	logs := make([]bytes.Buffer, 6)
+	var workers sync.WaitGroup
+	for i := range logs {
+		workers.Go(func() {
+			Run(Draw(uint64(40+i%2), nil), Options{Trace: func(line []byte) { logs[i].Write(line) }})
+		})
+	}
+	workers.Wait()
+	for i := 2; i < len(logs); i++ {
+		if logs[i].Len() == 0 || !bytes.Equal(logs[i].Bytes(), logs[i-2].Bytes()) {
+			t.Errorf("run %d of a seed differs from the one before", i)
+		}
+	}
+	if bytes.Equal(logs[0].Bytes(), logs[1].Bytes()) {
+		t.Error("two seeds gave the same run")
+	}
+}
+
+// TestPartsStandAlone: what one part draws does not change when another is left out, so that a plan can be shrunk.
+func TestPartsStandAlone(t *testing.T) {
+	for seed := range uint64(40) {
+		on := Parts(seed)
+		all := Draw(seed, nil)
+		for _, i := range on {
+			less := Draw(seed, map[int]bool{i: true})
+			if len(less.words) != len(all.words)-1 || len(less.Spec.Faults) < len(all.Spec.Faults)-1 || len(less.NodeFaults) < len(all.NodeFaults)-1 {
+				t.Fatalf("seed %d without part %d: %v of %v", seed, i, less.words, all.words)
+			}
+		}
+	}
+}
--- a/internal/lab/emulate/answers.go
+++ b/internal/lab/wording/answers.go
@@ -1,4 +1,6 @@
-package emulate
+// Package wording puts what the model says into the bytes of the protocol, and reads what nodes send. It has no clock and no
+// I/O: the emulator's sockets and the simulation's streams both speak with it.
+package wording
 
 import (
 	"bytes"
@@ -35,8 +37,8 @@
 	return fmt.Sprintf("latency_ms=%.1f,inflight=%d", l.Latency.Seconds()*1000, l.Inflight)
 }
 
-// respAnswer words an answer of a box.
-func respAnswer(id string, a model.Answer) []byte {
+// RESP words an answer of a box.
+func RESP(id string, a model.Answer) []byte {
 	var b []byte
 	switch a.Outcome {
 	case model.Pong:
@@ -81,8 +83,8 @@
 	return b
 }
 
-// httpAnswer words an answer of the origin. last says that the connection ends with it.
-func httpAnswer(id string, a model.Answer) (b []byte, last bool) {
+// HTTP words an answer of the origin. last says that the connection ends with it.
+func HTTP(id string, a model.Answer) (b []byte, last bool) {
 	load := "X-Load: " + report(a.Load) + "\r\n"
 	switch a.Outcome {
 	case model.Pong:
@@ -90,15 +92,15 @@
 		if a.Loaded {
 			body = report(a.Load)
 		}
-		b = httpText("200 OK", load, body, false)
+		b = Text("200 OK", load, body, false)
 	case model.Turned:
-		b = httpText("503 Service Unavailable", load+"X-Not-Run: 1\r\n", "", false)
+		b = Text("503 Service Unavailable", load+"X-Not-Run: 1\r\n", "", false)
 	case model.Failed:
-		b = httpText("500 Internal Server Error", load, "", false)
+		b = Text("500 Internal Server Error", load, "", false)
 	case model.Written:
-		b = httpText("200 OK", load, string(Value(id, model.Copy{Key: a.Copy.Key, Version: a.Copy.Version})), false)
+		b = Text("200 OK", load, string(Value(id, model.Copy{Key: a.Copy.Key, Version: a.Copy.Version})), false)
 	default:
-		b = httpText("200 OK", load, string(Value(id, a.Copy)), false)
+		b = Text("200 OK", load, string(Value(id, a.Copy)), false)
 	}
 	switch a.Spoilt {
 	case model.SpoiltNoise:
@@ -119,7 +121,8 @@
 	return b, false
 }
 
-func httpText(status, headers, body string, last bool) []byte {
+// Text is an HTTP/1.1 response.
+func Text(status, headers, body string, last bool) []byte {
 	if last {
 		headers += "Connection: close\r\n"
 	}
