Ask for read buffers under the pool's lock, and keep the daemon's state in its loop

1. internal/forward/pool.go, read: c.Decoder.Space() was called without the lock. It reads the decoder's `want`, which Core.close (by way of Drop) sets to zero under the lock when another goroutine ends the connection: Update of a server that left, an idle connection whose time is over, an abandoned forward. The race detector names both lines. Space is now asked for in the same critical section that tells the core what came; the bytes it returned stay the reader's. Ruled out: a second owner of the buffer itself. Drop touches only counters, and buf moves in Space and Next alone, both under the lock now. 2. cmd/shelfproxy/run.go, serveControl: it read d.cfg in a goroutine of its own, while reload writes d.cfg in the loop of run. The address is taken before the goroutine starts.

--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -87,7 +87,7 @@
 	if d.duties != nil {
 		go d.duties.Run(ended)
 	}
-	go d.serveControl(ended)
+	go d.serveControl(d.cfg.Operator.Rollout.Control, ended)
 	d.log.Info("the node is up", logs.Event, "started", "name", cfg.Name, "listen", cfg.Listen, "cores", cfg.Cores,
 		"memory_mb", cfg.MemoryMB, "sockets", cfg.Sockets)
 
@@ -316,9 +316,10 @@
 	}
 }
 
-// serveControl takes operators' calls. Without it the node serves on, as operators have signals too.
-func (d *daemon) serveControl(stop <-chan struct{}) {
-	s := control.New(d.cfg.Operator.Rollout.Control)
+// serveControl takes operators' calls at an address, beside the loop of run, which owns d.cfg. Without it the node serves on,
+// as operators have signals too.
+func (d *daemon) serveControl(addr string, stop <-chan struct{}) {
+	s := control.New(addr)
 	if d.agent != nil {
 		d.agent.Register(s)
 	}
--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -185,7 +185,8 @@
 type Conn struct {
 	// Socket is the shell's.
 	Socket any
-	// Decoder is where the shell puts what it reads, between calls of Received.
+	// Decoder is where the shell puts what it reads. Its methods are called in turn with the core's; only the bytes that
+	// Space returned may be filled in meanwhile.
 	Decoder Decoder
 
 	shared  bool       // counted in the budget
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -194,11 +194,16 @@
 	}
 }
 
-// read moves what the server sends to the core until the connection ends.
+// read moves what the server sends to the core until the connection ends. The decoder is the core's, and another goroutine
+// may close the connection meanwhile: so the room for the next bytes is asked for under the lock too. The bytes of that room
+// are this goroutine's alone until it says that they came.
 func (p *Pool) read(c *Conn, s *socket) {
 	var fx Effects
+	p.mu.Lock()
+	space := c.Decoder.Space()
+	p.mu.Unlock()
 	for over := false; !over; {
-		n, err := s.net.Read(c.Decoder.Space())
+		n, err := s.net.Read(space)
 		fx = fx[:0]
 		p.mu.Lock()
 		now := time.Now()
@@ -208,7 +213,9 @@
 		if err != nil {
 			p.core.Ended(now, c, &fx)
 		}
-		over = c.closed
+		if over = c.closed; !over {
+			space = c.Decoder.Space()
+		}
 		p.arm()
 		p.mu.Unlock()
 		p.carry(fx, false)
