Give cores of agreements one loop to run in, and table rollout decisions by size

Need: the agents of rollouts and duties each had the same goroutine, queue, clock and calls, written twice (a third, for membership, would have been another).

Change: internal/loop owns a core: a bounded queue, a tick, a clock that is read at the deed, and Ask for operators' calls. The agents keep what carries effects out. TestArithmetic plays Core.judge with other nodes out by agreement or fallen silent, and holds what a node tells to a datagram's 256 bytes.

Seen: its rows with silent nodes said abstains before, as those nodes had never spoken since the start: a node that has not learnt from a majority grants nothing, which is right. The table lets them speak first, then fall silent.

--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -81,11 +81,11 @@
 	}()
 	go d.front.Serve()
 	if d.agent != nil {
-		go d.agent.Run(ended)
+		go d.agent.Serve(ended)
 		d.agent.Post(rollout.Up{})
 	}
 	if d.duties != nil {
-		go d.duties.Run(ended)
+		go d.duties.Serve(ended)
 	}
 	go d.serveControl(d.cfg.Operator.Rollout.Control, ended)
 	d.log.Info("the node is up", logs.Event, "started", "name", cfg.Name, "listen", cfg.Listen, "cores", cfg.Cores,
--- a/internal/lease/agent/agent.go
+++ b/internal/lease/agent/agent.go
@@ -6,11 +6,11 @@
 	"context"
 	"log/slog"
 	"net/url"
-	"time"
 
 	"shelfproxy/internal/control"
 	"shelfproxy/internal/lease"
 	"shelfproxy/internal/logs"
+	"shelfproxy/internal/loop"
 )
 
 // Options are what an agent is made of. Its functions are called from the agent's goroutine and must not wait.
@@ -23,82 +23,49 @@
 	Log    *slog.Logger
 }
 
-const queueLength = 1024
-
 // Agent is one node's part in the agreement.
 type Agent struct {
+	*loop.Loop[lease.Event, lease.Effect]
 	opt   Options
 	core  *lease.Core
 	self  int
 	nodes int
-	queue chan func()
-	start time.Time
-	over  chan struct{}
 }
 
-// New makes an agent; Run serves it.
+// New makes an agent; Serve serves it.
 func New(opt Options) (*Agent, error) {
 	core, err := lease.New(opt.Core)
 	if err != nil {
 		return nil, err
 	}
-	return &Agent{opt: opt, core: core, self: opt.Core.Self, nodes: opt.Core.Nodes, queue: make(chan func(), queueLength),
-		start: time.Now(), over: make(chan struct{})}, nil
+	a := &Agent{opt: opt, core: core, self: opt.Core.Self, nodes: opt.Core.Nodes}
+	a.Loop = loop.New(core, a.do)
+	return a, nil
 }
 
 // Heard hands over a datagram of another node. While the agent is behind it is lost, as any may be.
-func (a *Agent) Heard(from int, data []byte) { a.post(lease.Heard{From: from, Data: data}) }
+func (a *Agent) Heard(from int, data []byte) { a.Post(lease.Heard{From: from, Data: data}) }
 
 // Say tells all others something under a duty, if this node still has it at that moment.
-func (a *Agent) Say(duty string) { a.post(lease.Say{Duty: duty}) }
+func (a *Agent) Say(duty string) { a.Post(lease.Say{Duty: duty}) }
 
 // Resign gives back what this node holds.
-func (a *Agent) Resign() { a.post(lease.Resign{}) }
+func (a *Agent) Resign() { a.Post(lease.Resign{}) }
 
 // Move takes another list of peers. What is sent from then on goes by it.
 func (a *Agent) Move(p lease.Peers) {
-	a.tell(func() {
-		a.step(p)
+	a.Tell(func() {
+		a.Step(p)
 		a.self, a.nodes = p.Self, p.Nodes
 	})
 }
 
-func (a *Agent) post(ev lease.Event) bool { return a.tell(func() { a.step(ev) }) }
-
-func (a *Agent) tell(f func()) bool {
-	select {
-	case a.queue <- f:
-		return true
-	default:
-		return false
-	}
-}
-
 // ticks is how often in a lease the core looks around.
 const ticks = 16
 
-// Run owns the core until stop is closed.
-func (a *Agent) Run(stop <-chan struct{}) {
-	defer close(a.over)
-	tick := time.NewTicker(a.opt.Core.Lease / ticks)
-	defer tick.Stop()
-	for {
-		select {
-		case f := <-a.queue:
-			f()
-		case <-tick.C:
-			a.step(lease.Tick{})
-		case <-stop:
-			return
-		}
-	}
-}
-
-// step reads the clock at the deed: what this process decided before it was stopped counts no more when it goes on.
-func (a *Agent) step(ev lease.Event) {
-	for _, e := range a.core.Step(time.Since(a.start), ev) {
-		a.do(e)
-	}
+// Serve owns the core until stop is closed.
+func (a *Agent) Serve(stop <-chan struct{}) {
+	a.Run(stop, a.opt.Core.Lease/ticks, func() { a.Step(lease.Tick{}) })
 }
 
 func (a *Agent) do(e lease.Effect) {
@@ -134,15 +101,10 @@
 // Register adds the operators' call: duties.
 func (a *Agent) Register(s *control.Server) {
 	s.Look("duties", func(url.Values) (any, error) {
-		got := make(chan []lease.Status, 1)
-		if !a.tell(func() { got <- a.core.Status(time.Since(a.start)) }) {
-			return nil, control.ErrBusy
-		}
-		select {
-		case st := <-got:
-			return st, nil
-		case <-a.over:
+		var status []lease.Status
+		if err := a.Ask(func() { status = a.core.Status(a.Now()) }); err != nil {
 			return nil, control.ErrBusy
 		}
+		return status, nil
 	})
 }
--- a/internal/rollout/agent/agent.go
+++ b/internal/rollout/agent/agent.go
@@ -7,10 +7,10 @@
 	"errors"
 	"log/slog"
 	"net/url"
-	"time"
 
 	"shelfproxy/internal/control"
 	"shelfproxy/internal/logs"
+	"shelfproxy/internal/loop"
 	"shelfproxy/internal/rollout"
 )
 
@@ -24,73 +24,40 @@
 	Log    *slog.Logger
 }
 
-const queueLength = 1024
-
 // Agent is one node's part in the agreement.
 type Agent struct {
-	opt   Options
-	core  *rollout.Core
-	queue chan func()
-	start time.Time
-	gone  bool
-	over  chan struct{}
-
+	*loop.Loop[rollout.Event, rollout.Effect]
+	opt  Options
+	core *rollout.Core
+	gone bool
 	told rollout.Served // to the core
 }
 
-// New makes an agent; Run serves it.
+// New makes an agent; Serve serves it.
 func New(opt Options) (*Agent, error) {
 	core, err := rollout.New(opt.Core)
 	if err != nil {
 		return nil, err
 	}
-	return &Agent{opt: opt, core: core, queue: make(chan func(), queueLength), start: time.Now(), over: make(chan struct{})}, nil
+	a := &Agent{opt: opt, core: core}
+	a.Loop = loop.New(core, a.do)
+	return a, nil
 }
 
 // Heard hands over a datagram of another node. While the agent is behind it is lost, as any may be.
-func (a *Agent) Heard(from int, data []byte) { a.post(rollout.Heard{From: from, Data: data}) }
-
-// Post tells the core something. It never waits.
-func (a *Agent) Post(ev rollout.Event) { a.post(ev) }
-
-func (a *Agent) post(ev rollout.Event) bool {
-	select {
-	case a.queue <- func() { a.step(ev) }:
-		return true
-	default:
-		return false
-	}
-}
-
-// Run owns the core until stop is closed.
-func (a *Agent) Run(stop <-chan struct{}) {
-	defer close(a.over)
-	tick := time.NewTicker(a.opt.Core.Beacon / 4)
-	defer tick.Stop()
-	for {
-		select {
-		case f := <-a.queue:
-			f()
-		case <-tick.C:
-			if a.opt.Served != nil {
-				if s := a.opt.Served(); s.Answers > a.told.Answers {
-					a.step(rollout.Served{Answers: s.Answers - a.told.Answers, Failed: s.Failed - a.told.Failed, Slow: s.Slow - a.told.Slow})
-					a.told = s
-				}
+func (a *Agent) Heard(from int, data []byte) { a.Post(rollout.Heard{From: from, Data: data}) }
+
+// Serve owns the core until stop is closed.
+func (a *Agent) Serve(stop <-chan struct{}) {
+	a.Run(stop, a.opt.Core.Beacon/4, func() {
+		if a.opt.Served != nil {
+			if s := a.opt.Served(); s.Answers > a.told.Answers {
+				a.Step(rollout.Served{Answers: s.Answers - a.told.Answers, Failed: s.Failed - a.told.Failed, Slow: s.Slow - a.told.Slow})
+				a.told = s
 			}
-			a.step(rollout.Tick{})
-		case <-stop:
-			return
 		}
-	}
-}
-
-func (a *Agent) now() rollout.Time { return time.Since(a.start) }
-
-func (a *Agent) step(ev rollout.Event) {
-	for _, e := range a.core.Step(a.now(), ev) {
-		a.do(e)
-	}
+		a.Step(rollout.Tick{})
+	})
 }
 
 func (a *Agent) do(e rollout.Effect) {
@@ -103,11 +70,11 @@
 		}
 	case rollout.Go:
 		// This process may have been stopped since the core decided: it is asked again, at the moment of the deed.
-		if a.gone || !a.core.MayGo(a.now()) {
+		if a.gone || !a.core.MayGo(a.Now()) {
 			return
 		}
 		a.gone = true
-		a.step(rollout.Going{})
+		a.Step(rollout.Going{})
 		a.opt.Go()
 	case rollout.Note:
 		a.opt.Note(e.Kind)
@@ -123,19 +90,11 @@
 }
 
 // Status is the agreement as this node sees it.
-func (a *Agent) Status() (rollout.Status, error) {
-	got := make(chan rollout.Status, 1)
-	select {
-	case a.queue <- func() { got <- a.core.Status(a.now()) }:
-	default:
-		return rollout.Status{}, control.ErrBusy
-	}
-	select {
-	case s := <-got:
-		return s, nil
-	case <-a.over:
-		return rollout.Status{}, control.ErrBusy
+func (a *Agent) Status() (status rollout.Status, err error) {
+	if a.Ask(func() { status = a.core.Status(a.Now()) }) != nil {
+		err = control.ErrBusy
 	}
+	return status, err
 }
 
 // Register adds the operators' calls: status, drain, halt, resume and roll with to=RELEASE.
@@ -147,7 +106,7 @@
 			if err != nil {
 				return nil, err
 			}
-			if !a.post(ev) {
+			if !a.Post(ev) {
 				return nil, control.ErrBusy
 			}
 			return a.Status()
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -489,3 +489,58 @@
 		c.Step(0, Heard{1, data})
 	})
 }
+
+// TestArithmetic: what a node decides in fleets of any size: how many make a majority, what is refused, and that all that is
+// granted fits a datagram.
+func TestArithmetic(t *testing.T) {
+	for _, test := range []struct {
+		nodes, budget, out, silent int // out by agreement, silent besides
+		majority                   int
+		want                       Reason
+	}{
+		{1, 1, 0, 0, 1, Granted}, {4, 1, 0, 0, 3, Granted}, {4, 1, 1, 0, 3, Over}, {4, 2, 1, 0, 3, Granted}, {4, 2, 0, 2, 3, Over},
+		{80, 4, 3, 0, 41, Granted}, {80, 4, 4, 0, 41, Over}, {80, 4, 2, 2, 41, Over}, {300, 11, 10, 0, 151, Granted}, {300, 11, 5, 6, 151, Over},
+		{1000, 11, 10, 0, 501, Granted}, {1000, 11, 11, 0, 501, Over}, {1000, 11, 0, 499, 501, Over},
+	} {
+		c, err := New(config(0, test.nodes, test.budget))
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := Time(0)
+		c.Step(now, Up{})
+		count := uint32(0)
+		speak := func(nodes int) { // those that are out leave, the others are fit
+			count++
+			for i := 1; i < nodes; i++ {
+				state := Fit
+				if i <= test.out {
+					state = Leaving
+				}
+				c.Step(now, Heard{i, beacon{Start: 1, Count: count, State: state}.encode()})
+			}
+		}
+		for _, nodes := range []int{test.nodes, test.nodes - test.silent} { // past the lease, then past the silence of some
+			for end := now + c.cfg.Lease + c.cfg.Silent; now < end; now += c.cfg.Beacon {
+				speak(nodes)
+				c.Step(now, Tick{})
+			}
+		}
+		for i := 1; i <= test.out; i++ {
+			c.grants = append(c.grants, grant{entry: entry{Holder: uint16(i), Start: 1, Ask: 1, Slot: uint8(i - 1)}, at: now})
+		}
+		free := uint8(min(test.out, test.budget-1))
+		if got := c.judge(now, test.nodes-1-test.silent, ask{Start: 1, Ask: 1, Slot: free}); test.nodes > 1 && got != test.want && !(got == Taken && test.want == Over) {
+			t.Errorf("%d nodes, budget %d, %d out, %d silent: %v, want %v", test.nodes, test.budget, test.out, test.silent, got, test.want)
+		}
+		if got := majority(test.nodes); got != test.majority {
+			t.Errorf("%d nodes: %d are a majority, want %d", test.nodes, got, test.majority)
+		}
+		b := beacon{Start: 1 << 60, Count: 1 << 31}
+		for _, g := range c.grants {
+			b.Table = append(b.Table, g.entry)
+		}
+		if n := len(b.encode()); n > maxBytes {
+			t.Errorf("%d nodes: a beacon of %d bytes", test.nodes, n)
+		}
+	}
+}
