Know which nodes of a fleet are there, by SWIM, and divide the work by those

The module takes Fleet{Routers}.

Weighed: hashicorp/memberlist (TCP for whole states, 1,400 byte packets, no seed to replay it by), the beacons of rollouts.

--- a/brain/api.go
+++ b/brain/api.go
@@ -227,6 +227,9 @@
 // Word brings what the holder of a duty told all routers with Spread: the Caller, that the list answers again.
 type Word struct{ Duty Duty }
 
+// Fleet says how many routers share the traffic from now on, this one among them; 0: as many as the settings say.
+type Fleet struct{ Routers int }
+
 // Timer says that a SetTimer has come due.
 type Timer struct{ Token uint64 }
 
@@ -241,6 +244,7 @@
 func (Heard) event()     {}
 func (Holder) event()    {}
 func (Word) event()      {}
+func (Fleet) event()     {}
 
 // Action is something the router wants done: one of the types below it.
 type Action interface{ action() }
--- a/brain/gossip_test.go
+++ b/brain/gossip_test.go
@@ -439,6 +439,23 @@
 	}
 }
 
+// TestFleetSize: the routers that are there probe a silent server at the pace of the whole fleet, and spread calls for the list
+// over the time that the whole fleet would; where they cannot be told, those of the settings count.
+func TestFleetSize(t *testing.T) {
+	set := testSettings()
+	set.Routers, set.Peers = 60, true
+	b := newBench(t, set, names(4)...)
+	probe, call := b.r.again(), b.r.calls.Spread
+	b.do(Fleet{Routers: 30})
+	if b.r.again() != probe/2 || b.r.calls.Spread >= call {
+		t.Errorf("half are there: a probe after %v, calls over %v; %v and %v with all", b.r.again(), b.r.calls.Spread, probe, call)
+	}
+	b.do(Fleet{})
+	if b.r.again() != probe || b.r.calls.Spread != call {
+		t.Errorf("not told: a probe after %v, calls over %v; want %v and %v", b.r.again(), b.r.calls.Spread, probe, call)
+	}
+}
+
 // TestOneProbesForAll: with the duty to probe at one router, a server that is silent for 20 s costs a fleet a fraction of
 // the probes, and all have it back no later than without.
 func TestOneProbesForAll(t *testing.T) {
--- a/brain/router.go
+++ b/brain/router.go
@@ -103,46 +103,47 @@
 
 // Router decides for one router. It is not safe for concurrent use.
 type Router struct {
-	set       Settings
-	rng       *rand.Rand
-	now       Time
-	acts      []Action
-	classes   map[string]*Class
-	topWorth  float64
-	shares    *shares.Shares
-	servers   []*server // sorted by id
-	byID      map[string]*server
-	unreached map[string]int // failed connects in a row, by zone
-	origin    *server
-	pool      gauge // of all cache servers
-	requests  map[uint64]*request
-	flights   map[string]*flight
-	budgets   map[*Class]*admission.Budget // of second attempts
-	strain    float64                      // share of what may be refused that should be, as the node is behind
-	owed      [bulk + 1]float64            // refusals due by bucket, spread evenly
-	takers    float64                      // cache servers that are listed for work, silent ones too
-	units     float64                      // their mean size
-	keys      tally.Keys                   // requests by key, of this router and samples of the others'
-	all, one  float64                      // requests of this router, and what one counts now; see count
-	served    float64                      // answers of cache servers, counted like all
-	allAt     Time
-	quickest  time.Duration // answers of cache servers of late; 0 before the first
-	byMark    map[gossip.Mark]*server
-	talk      gossip.Talk   // with the other routers
-	pace      time.Duration // between two routers' probes of a server believed silent
-	sweepAt   Time          // when counts are scaled back next
-	calls     asking.Calls  // for the list
-	who       [dutyCount]Who
-	ticking   bool
-	home      gauge   // of the cache servers of the own zone
-	homePart  float64 // their share of all servers' weights
-	reach     zones.Reach
-	gate      admission.Concurrency    // how much may be out at the origin
-	line      admission.Line[*request] // what waits for it
-	eject     ejection.Budget          // of cache servers that are left out, or lose keys, by this router's judgment
-	wants     []ejection.Server        // reused
-	granted   []float64                // reused
-	short     bool                     // it was not enough of late
+	set        Settings
+	rng        *rand.Rand
+	now        Time
+	acts       []Action
+	classes    map[string]*Class
+	topWorth   float64
+	shares     *shares.Shares
+	servers    []*server // sorted by id
+	byID       map[string]*server
+	unreached  map[string]int // failed connects in a row, by zone
+	origin     *server
+	pool       gauge // of all cache servers
+	requests   map[uint64]*request
+	flights    map[string]*flight
+	budgets    map[*Class]*admission.Budget // of second attempts
+	strain     float64                      // share of what may be refused that should be, as the node is behind
+	owed       [bulk + 1]float64            // refusals due by bucket, spread evenly
+	takers     float64                      // cache servers that are listed for work, silent ones too
+	units      float64                      // their mean size
+	keys       tally.Keys                   // requests by key, of this router and samples of the others'
+	all, one   float64                      // requests of this router, and what one counts now; see count
+	served     float64                      // answers of cache servers, counted like all
+	allAt      Time
+	quickest   time.Duration // answers of cache servers of late; 0 before the first
+	byMark     map[gossip.Mark]*server
+	talk       gossip.Talk   // with the other routers
+	pace       time.Duration // between two routers' probes of a server believed silent
+	sweepAt    Time          // when counts are scaled back next
+	calls      asking.Calls  // for the list
+	who        [dutyCount]Who
+	ticking    bool
+	home       gauge   // of the cache servers of the own zone
+	homePart   float64 // their share of all servers' weights
+	reach      zones.Reach
+	gate       admission.Concurrency    // how much may be out at the origin
+	line       admission.Line[*request] // what waits for it
+	configured int                      // how many routers the settings say share the traffic
+	eject      ejection.Budget          // of cache servers that are left out, or lose keys, by this router's judgment
+	wants      []ejection.Server        // reused
+	granted    []float64                // reused
+	short      bool                     // it was not enough of late
 }
 
 // gateMost is what may be out at the origin before anything is known of it.
@@ -163,7 +164,7 @@
 
 // New makes a Router. The seed feeds its only random numbers: waits, lots and the phase of refusals.
 func New(set Settings, seed uint64) (*Router, error) {
-	r := &Router{set: set, rng: rand.New(rand.NewPCG(seed, seed)), classes: map[string]*Class{},
+	r := &Router{set: set, configured: set.Routers, rng: rand.New(rand.NewPCG(seed, seed)), classes: map[string]*Class{},
 		shares: shares.New(max(1, set.Routers)), byID: map[string]*server{}, unreached: map[string]int{},
 		requests: map[uint64]*request{}, flights: map[string]*flight{},
 		byMark: map[gossip.Mark]*server{}, talk: gossip.Talk{Mute: !set.Peers, Nodes: set.Routers},
@@ -234,6 +235,8 @@
 		r.strain = e.Level
 	case Holder:
 		r.hold(e)
+	case Fleet:
+		r.fleet(e.Routers)
 	case Word:
 		r.calls.Told(r.now) // the only duty that has something to say
 	case Timer:
@@ -300,6 +303,16 @@
 	return min(listPace*time.Duration(r.set.Routers), (told+r.set.DrainGrace-listCall)/2)
 }
 
+// fleet takes it how many routers share the traffic: what is divided by them, or spread over them, is so anew.
+func (r *Router) fleet(n int) {
+	if n <= 0 {
+		n = r.configured
+	}
+	r.set.Routers, r.talk.Nodes = n, n
+	r.calls.Spread = r.spread()
+	r.shares.Resize(n)
+}
+
 // hold takes it who has a duty from now on.
 func (r *Router) hold(e Holder) {
 	switch r.who[e.Duty] = e.Who; e.Duty {
--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -25,6 +25,8 @@
 	"shelfproxy/internal/control"
 	"shelfproxy/internal/counters"
 	"shelfproxy/internal/discovery"
+	memberAgent "shelfproxy/internal/fleet/agent"
+	"shelfproxy/internal/fleet/membership"
 	"shelfproxy/internal/flow"
 	"shelfproxy/internal/forward"
 	"shelfproxy/internal/lease"
@@ -55,9 +57,10 @@
 	node  *node.Node
 	front *listener.Listener
 
-	agent            *agent.Agent     // nil where nodes go when they are told
-	duties           *dutyAgent.Agent // nil where each node does for itself
-	socket           *peers.Socket    // nil where nodes may not talk to each other
+	agent            *agent.Agent       // nil where nodes go when they are told
+	duties           *dutyAgent.Agent   // nil where each node does for itself
+	members          *memberAgent.Agent // nil where nobody looks who is there
+	socket           *peers.Socket      // nil where nodes may not talk to each other
 	leave            chan struct{}
 	memory           admission.Memory
 	pressure         float64 // as the node was told
@@ -87,6 +90,9 @@
 	if d.duties != nil {
 		go d.duties.Serve(ended)
 	}
+	if d.members != nil {
+		go d.members.Serve(ended)
+	}
 	go d.serveControl(d.cfg.Operator.Rollout.Control, ended)
 	d.log.Info("the node is up", logs.Event, "started", "name", cfg.Name, "listen", cfg.Listen, "cores", cfg.Cores,
 		"memory_mb", cfg.MemoryMB, "sockets", cfg.Sockets)
@@ -215,6 +221,14 @@
 	} else if len(op.Duties.Hold) > 0 {
 		logs.Component(log, "duties").Warn("nodes may not send each other messages here: each does for itself", logs.Event, "duties_off")
 	}
+	var members *memberAgent.Agent
+	if socket != nil && op.Members.On {
+		if members, err = newMembers(cfg, socket, n, count, logs.Component(log, "members")); err != nil {
+			return nil, fmt.Errorf("members: %w", err)
+		}
+	} else if op.Members.On {
+		logs.Component(log, "members").Warn("nodes may not send each other messages here: nobody looks who is there", logs.Event, "members_off")
+	}
 	if socket != nil {
 		heard := func(from int, data []byte) {
 			switch {
@@ -222,6 +236,8 @@
 				agreement.Heard(from, data)
 			case duties != nil && len(data) > 0 && data[0] == lease.Mark:
 				duties.Heard(from, data)
+			case members != nil && len(data) > 0 && data[0] == membership.Mark:
+				members.Heard(from, data)
 			default:
 				n.Heard(from, data)
 			}
@@ -235,7 +251,7 @@
 	front := listener.New(ln, n, classes, tenants, listener.Limits{Conns: start[admission.Clients],
 		Pipelined: min(op.Listener.Pipelined, max(leastPipelined, cfg.MemoryMB/pipelinedMB)), Value: 64 << 10, Write: op.Listener.Write.D(), Silent: op.Listener.Silent.D(),
 		Crowd: op.Listener.IdleCrowded.D(), Idle: op.Listener.Idle.D(), Owed: cfg.MemoryMB << 20 / 6}, count)
-	return &daemon{agent: agreement, duties: duties, socket: socket, leave: leave, memory: admission.Memory{Limit: int64(cfg.MemoryMB) << 20}, cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front,
+	return &daemon{agent: agreement, duties: duties, members: members, socket: socket, leave: leave, memory: admission.Memory{Limit: int64(cfg.MemoryMB) << 20}, cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front,
 		split: admission.NewSplit(split), targets: targets, origins: origins}, nil
 }
 
@@ -309,11 +325,25 @@
 		Note: func(kind lease.NoteKind) { counts[kind].Add(1) }})
 }
 
-// resign gives the duties of this node to the others at once.
+// newMembers makes this node's part in who is there.
+func newMembers(cfg *config.Config, socket *peers.Socket, n *node.Node, count *counters.Counters, log *slog.Logger) (*memberAgent.Agent, error) {
+	counts := make([]*atomic.Int64, memberAgent.Notes)
+	for note := range memberAgent.Notes {
+		counts[note] = count.More("member_" + note.String())
+	}
+	core := cfg.Operator.Members.Core(cfg.Peers.Self(), len(cfg.Peers.Peers), cfg.Operator.Duties.Fleet(len(cfg.Peers.Peers)), uint64(time.Now().UnixMilli()), cfg.Seed)
+	return memberAgent.New(memberAgent.Options{Core: core, Send: socket.TellTo, Count: n.Fleet, Log: log,
+		Note: func(note memberAgent.Note) { counts[note].Add(1) }})
+}
+
+// resign gives the duties of this node to the others at once, and tells them that it ends.
 func (d *daemon) resign() {
 	if d.duties != nil {
 		d.duties.Resign()
 	}
+	if d.members != nil {
+		d.members.Leave()
+	}
 }
 
 // serveControl takes operators' calls at an address, beside the loop of run, which owns d.cfg. Without it the node serves on,
@@ -326,6 +356,9 @@
 	if d.duties != nil {
 		d.duties.Register(s)
 	}
+	if d.members != nil {
+		d.members.Register(s)
+	}
 	if err := s.Serve(stop); err != nil {
 		d.log.Error("operators' calls are not taken", logs.Event, "control_failed", "error", err.Error())
 	}
@@ -455,7 +488,7 @@
 		refused = "an agreement on who is out runs among the nodes of the start"
 	case d.duties != nil && changed > 1:
 		refused = "more than one node was added or taken away"
-	case d.duties != nil && cfg.Peers.Self() < 0:
+	case (d.duties != nil || d.members != nil) && cfg.Peers.Self() < 0:
 		refused = "this node is not among them"
 	}
 	if refused == "" {
@@ -468,8 +501,13 @@
 		return
 	}
 	d.log.Info("reload: the list of peers changes", logs.Event, "peers_moved", "nodes", len(cfg.Peers.Peers), "changed", changed)
+	self, nodes := cfg.Peers.Self(), len(cfg.Peers.Peers)
+	list := cfg.Operator.Duties.Fleet(nodes)
 	if d.duties != nil {
-		d.duties.Move(lease.Peers{Self: cfg.Peers.Self(), Nodes: len(cfg.Peers.Peers), Fleet: cfg.Operator.Duties.Fleet(len(cfg.Peers.Peers))})
+		d.duties.Move(lease.Peers{Self: self, Nodes: nodes, Fleet: list})
+	}
+	if d.members != nil {
+		d.members.Move(membership.Peers{Self: self, Nodes: nodes, Fleet: list})
 	}
 	kept, op := *d.cfg, *d.cfg.Operator
 	kept.Peers, op.Duties.List = cfg.Peers, cfg.Operator.Duties.List
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -115,6 +115,9 @@
 	if len(op.Duties.Hold) > 0 && c.Tells() && c.Peers.Self() < 0 {
 		return nil, fmt.Errorf("peer_listen: %q is not among the peers, and duties.hold wants an agreement with them", c.Peers.Listen)
 	}
+	if op.Members.On && c.Tells() && c.Peers.Self() < 0 {
+		return nil, fmt.Errorf("peer_listen: %q is not among the peers, and members.on wants to be seen by them", c.Peers.Listen)
+	}
 	if c.seed == "" && v == nil {
 		// Nodes with the same random numbers would all do the same thing at the same moment.
 		c.Seed, c.from["seed"] = rand.Uint64(), "drawn at the start"
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shelfproxy/brain"
+	"shelfproxy/internal/fleet/membership"
 	"shelfproxy/internal/lease"
 	"shelfproxy/internal/logs"
 	"shelfproxy/internal/rollout"
@@ -40,6 +41,7 @@
 	Zones    Zones    `toml:"zones"`
 	Rollout  Rollout  `toml:"rollout"`
 	Duties   Duties   `toml:"duties"`
+	Members  Members  `toml:"members"`
 	Service  *Service `toml:"service"` // in place of LB_CONFIG's settings
 
 	file *tomlfile.File
@@ -117,6 +119,21 @@
 // Fleet is the number of a list of peers. Their addresses are not in it: each node may know the others under its own.
 func (d Duties) Fleet(nodes int) uint32 { return lease.Name(fmt.Sprintf("%d/%s", nodes, d.List)) }
 
+// Members says whether this node keeps track of which of its peers are there. It takes effect where nodes may send each other
+// messages.
+type Members struct {
+	On        bool              `toml:"on"`
+	Period    tomlfile.Duration `toml:"period"`    // between two probes of this node
+	Wait      tomlfile.Duration `toml:"wait"`      // for an answer, before others are asked to ask
+	Ask       int               `toml:"ask"`       // others that are asked
+	Suspicion float64           `toml:"suspicion"` // periods, times the logarithm of the fleet, after which a suspect is dead
+}
+
+// Core is what the core of membership is told, as node self of so many.
+func (m Members) Core(self, nodes int, fleet uint32, life, seed uint64) membership.Config {
+	return membership.Config{Self: self, Nodes: nodes, Fleet: fleet, Life: life, Period: m.Period.D(), Wait: m.Wait.D(), Ask: m.Ask, Suspicion: m.Suspicion, Seed: seed}
+}
+
 // Service is what the nodes of a deployment have in common.
 type Service struct {
 	Nodes          int               `toml:"nodes"` // that share the traffic
@@ -168,6 +185,7 @@
 		Lease: tomlfile.Duration(5 * time.Second), Return: tomlfile.Duration(time.Minute), Lost: tomlfile.Duration(10 * time.Minute),
 		Watch: tomlfile.Duration(10 * time.Second), MaxFailed: 0.2, MaxSlow: 0.5, LeastJudged: 20, Drift: 0.01}
 	o.Duties = Duties{Lease: tomlfile.Duration(3 * time.Second), Drift: 0.01}
+	o.Members = Members{Period: tomlfile.Duration(time.Second), Wait: tomlfile.Duration(200 * time.Millisecond), Ask: 3, Suspicion: 2}
 	o.Limits.MemoryMB, o.Limits.Sockets = 192, 1024
 	o.Log.Level, o.Log.Format = "info", "auto"
 	return o
@@ -258,6 +276,9 @@
 			return o.file.Errorf("duties", "%v", err)
 		}
 	}
+	if err := o.Members.Core(0, 2, 0, 0, 0).Validate(); err != nil {
+		return o.file.Errorf("members", "%v", err)
+	}
 	if s.Last < s.Grace {
 		return o.file.Errorf("shutdown.last", "%s is before the end of shutdown.grace, %s", s.Last, s.Grace)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,6 +87,9 @@
 	n.offer(func() { n.core.Tell(brain.Heard{From: from, Data: data}) })
 }
 
+// Fleet tells the module how many nodes share the traffic from now on, this one among them; 0: as many as are configured.
+func (n *Node) Fleet(nodes int) { n.offer(func() { n.core.Tell(brain.Fleet{Routers: nodes}) }) }
+
 // Duty tells the module of a duty: who has it, or what its holder told all. What is lost comes again with the next news.
 func (n *Node) Duty(ev brain.Event) { n.offer(func() { n.core.Tell(ev) }) }
 
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -41,6 +41,9 @@
 	s.all += quota
 }
 
+// Resize takes it that so many nodes share the traffic from now on. Purses keep what they hold, up to their new size.
+func (s *Shares) Resize(nodes int) { s.nodes = float64(max(1, nodes)) }
+
 // Within takes a request of a tenant and tells whether it is within its share. One of nobody's is.
 func (s *Shares) Within(now Time, name string) bool {
 	t := s.tenants[name]
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -45,6 +45,23 @@
 	}
 }
 
+// TestResize: of a quota over four nodes one gets a quarter, and half where two are left.
+func TestResize(t *testing.T) {
+	for nodes, want := range map[int]int{4: 20, 2: 40} {
+		s, within := New(4), 0
+		s.Add("t", 8)
+		s.Resize(nodes)
+		for i := range 100 {
+			if s.Within(time.Duration(i)*100*time.Millisecond, "t") {
+				within++
+			}
+		}
+		if within < want-5 || within > want+10 {
+			t.Errorf("%d of 100 requests in 10 s are within the share of one of %d nodes, want about %d", within, nodes, want)
+		}
+	}
+}
+
 // TestLoneTenant: without others to send less than, time alone counts.
 func TestLoneTenant(t *testing.T) {
 	s, beyond := New(4), 0
