Play what nodes agree on from seeds, and mend five defects in leases and rollouts

Replay, trace and shrinking as for requests. internal/lab/sim/timeline.go is what both share.

Seen, each traced by the event log of its seed: - seed 1385, two-holders: lease.Core.decide took a late renewal under an earlier token in the place of the grant to the same node, and the word that gave the earlier token back then ended the grant; node 1 granted node 2 while node 0 held. - seed 1759, no-holder: d.released took the token of an ask that came to nothing, and decide refused the holder's lower one for good (126 times in 45 s at one of six nodes). Tokens given back are kept by node now. - seeds 465 and 586, not-back: rollout.Core.obey set wants by the order alone, which took back an operator's Leave. - the way back left the slot that a node had asked for with nobody to give it back (pursue returned early). - seeds 402, 627, 761, 780: a node on whose machine another release is installed than ordered went out again and again (14 times in 30 s). It waits until it has been fit for `silent`, the others compare, and the release halts as not_installed.

Tests: TestWhatComesLate, three rows of TestHardCases, TestFleetSeeds; each fails with the core of before.

--- a/cmd/shelflab/simulate.go
+++ b/cmd/shelflab/simulate.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 	"runtime"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,15 +18,31 @@
 	"shelfproxy/internal/lab/sim"
 )
 
+// runs is what a seed means: one of the two things that can be simulated.
+type runs struct {
+	run    func(seed uint64, skip map[int]bool, opt sim.Options) *sim.Report
+	shrink func(seed uint64, rule string) (map[int]bool, *sim.Report)
+}
+
+var (
+	requests = runs{func(seed uint64, skip map[int]bool, opt sim.Options) *sim.Report {
+		return sim.Run(sim.Draw(seed, skip), opt)
+	}, sim.Shrink}
+	// agreements have many nodes and no requests.
+	agreements = runs{func(seed uint64, skip map[int]bool, opt sim.Options) *sim.Report {
+		return sim.RunFleet(sim.DrawFleet(seed, skip), opt)
+	}, sim.ShrinkFleet}
+)
+
 func simulateCommand() *cobra.Command {
 	var seeds, from, replay uint64
 	var jobs int
 	var skip, trace string
-	var shrink, reports, first, replaying bool
+	var shrink, reports, first, replaying, fleets bool
 	cmd := &cobra.Command{Use: "simulate", Short: "Play fleets on a virtual clock, with faults drawn by seeds, and check every rule after every step",
 		Long: "simulate plays whole fleets on a virtual clock: the real cores of nodes against the lab's model, over a simulated\n" +
 			"network, one run for each seed. A run is the same each time, byte for byte. Exit code 3 says that a rule was broken.",
-		Example: "  shelflab simulate --seeds 10000\n  shelflab simulate --replay 4711 --trace run.txt\n  shelflab simulate --seeds 500 --shrink",
+		Example: "  shelflab simulate --seeds 10000\n  shelflab simulate --fleet --seeds 10000\n  shelflab simulate --replay 4711 --trace run.txt\n  shelflab simulate --seeds 500 --shrink",
 		Args:    cobra.NoArgs,
 		PreRunE: func(cmd *cobra.Command, _ []string) error {
 			replaying = cmd.Flags().Changed("replay")
@@ -34,23 +50,27 @@
 		},
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			out := cmd.OutOrStdout()
+			of := requests
+			if fleets {
+				of = agreements
+			}
 			if replaying {
-				return replayOne(cmd, replay, skip, trace, shrink)
+				return replayOne(cmd, of, replay, skip, trace, shrink)
 			}
 			began := time.Now()
 			var mu sync.Mutex
 			var bad []*sim.Report
 			rules := map[string]int{}
-			done, requests := uint64(0), 0
+			done, due := uint64(0), 0
 			next := make(chan uint64)
 			var workers sync.WaitGroup
 			for range max(1, jobs) {
 				workers.Go(func() {
 					for seed := range next {
-						r := sim.Run(sim.Draw(seed, nil), sim.Options{})
+						r := of.run(seed, nil, sim.Options{})
 						mu.Lock()
 						done++
-						requests += r.Due
+						due += r.Due
 						if reports {
 							fmt.Fprintln(out, r)
 						}
@@ -85,19 +105,19 @@
 			close(next)
 			workers.Wait()
 			took := time.Since(began)
-			fmt.Fprintf(out, "%d seeds, %d requests, %d broken, %.1f s on %d workers (%.1f ms a seed)\n", done, requests, len(bad), took.Seconds(), jobs,
+			fmt.Fprintf(out, "%d seeds, %d requests, %d broken, %.1f s on %d workers (%.1f ms a seed)\n", done, due, len(bad), took.Seconds(), jobs,
 				took.Seconds()*1000*float64(max(1, jobs))/float64(max(1, done)))
 			var names []string
 			for rule := range rules {
 				names = append(names, rule)
 			}
-			sort.Strings(names)
+			slices.Sort(names)
 			for _, rule := range names {
 				fmt.Fprintf(out, "%s: %d seeds\n", rule, rules[rule])
 			}
 			if shrink {
 				for _, r := range bad[:min(len(bad), 5)] {
-					left, small := sim.Shrink(r.Seed, r.Broken[0].Rule)
+					left, small := of.shrink(r.Seed, r.Broken[0].Rule)
 					fmt.Fprintf(out, "shrunk: --replay %d --skip %s: %s\n", r.Seed, sim.SkipWords(left), small)
 				}
 			}
@@ -118,12 +138,13 @@
 	f.StringVar(&trace, "trace", "", "with --replay: write the event log into this file, - for the terminal")
 	f.BoolVar(&shrink, "shrink", false, "leave out what is not needed to break the same rule")
 	f.BoolVar(&first, "first", false, "stop at the first seed that breaks a rule")
+	f.BoolVar(&fleets, "fleet", false, "play what nodes agree on among themselves: duties, who is out, who is there")
 	f.BoolVar(&reports, "reports", false, "a line for each seed, also where all is kept")
 	return cmd
 }
 
 // replayOne plays one seed and tells all about it.
-func replayOne(cmd *cobra.Command, seed uint64, skip, trace string, shrink bool) error {
+func replayOne(cmd *cobra.Command, of runs, seed uint64, skip, trace string, shrink bool) error {
 	out := cmd.OutOrStdout()
 	left := map[int]bool{}
 	for _, word := range strings.FieldsFunc(skip, func(r rune) bool { return r == ',' }) {
@@ -146,7 +167,7 @@
 		defer file.Close()
 		opt.Trace = func(line []byte) { file.Write(line) }
 	}
-	r := sim.Run(sim.Draw(seed, left), opt)
+	r := of.run(seed, left, opt)
 	fmt.Fprintln(out, r)
 	for _, b := range r.Broken {
 		fmt.Fprintln(out, " ", b)
@@ -155,7 +176,7 @@
 		return nil
 	}
 	if shrink {
-		left, small := sim.Shrink(seed, r.Broken[0].Rule)
+		left, small := of.shrink(seed, r.Broken[0].Rule)
 		fmt.Fprintf(out, "shrunk: --replay %d --skip %s: %s\n", seed, sim.SkipWords(left), small)
 	}
 	return exit.With(exitRules, errors.New("a rule was broken"))
--- a/internal/lab/sim/plan.go
+++ b/internal/lab/sim/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -281,19 +282,23 @@
 // Parts are the numbers of the parts that a seed switches on.
 func Parts(seed uint64) []int { return Draw(seed, nil).on }
 
-// Shrink leaves out one part after another of a seed's plan for as long as the same rule stays broken, and returns what is left,
-// with its report.
+// Shrink leaves out one part after another of a seed's plan for as long as the same rule stays broken, and returns what is left
+// out, with the report of that run.
 func Shrink(seed uint64, rule string) (skip map[int]bool, report *Report) {
+	return shrink(Parts(seed), rule, func(skip map[int]bool) *Report { return Run(Draw(seed, skip), Options{}) })
+}
+
+func shrink(on []int, rule string, run func(skip map[int]bool) *Report) (skip map[int]bool, report *Report) {
 	skip = map[int]bool{}
-	report = Run(Draw(seed, skip), Options{})
+	report = run(skip)
 	for again := true; again; {
 		again = false
-		for _, i := range Parts(seed) {
+		for _, i := range on {
 			if skip[i] {
 				continue
 			}
 			skip[i] = true
-			if r := Run(Draw(seed, skip), Options{}); slices.ContainsFunc(r.Broken, func(b Broken) bool { return b.Rule == rule }) {
+			if r := run(skip); slices.ContainsFunc(r.Broken, func(b Broken) bool { return b.Rule == rule }) {
 				report, again = r, true
 				continue
 			}
@@ -306,10 +311,8 @@
 // SkipWords are the words of a mask, for a command line: the numbers of the parts left out.
 func SkipWords(skip map[int]bool) string {
 	var out []string
-	for i := range parts {
-		if skip[i] {
-			out = append(out, fmt.Sprint(i))
-		}
+	for _, i := range slices.Sorted(maps.Keys(skip)) {
+		out = append(out, fmt.Sprint(i))
 	}
 	return strings.Join(out, ",")
 }
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -7,13 +7,9 @@
 import (
 	"container/heap"
 	"fmt"
-	"math/rand/v2"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"shelfproxy/internal/lab/model"
 	"shelfproxy/internal/lab/rules"
 	"shelfproxy/internal/lab/scenario"
@@ -79,15 +75,8 @@
 
 // world is one run.
 type world struct {
-	plan   *Plan
-	opt    Options
-	now    Time
-	due    events
-	booked uint64
-	rng    *rand.Rand // of the network
-	hash   *xxhash.Digest
-	line   []byte
-	report *Report
+	timeline
+	plan *Plan
 
 	portal  *model.Portal
 	check   *rules.Checker
@@ -106,70 +95,9 @@
 
 type doorKey struct{ slot, node int }
 
-// event is work that is due at a time; of equals the one booked first goes first.
-type event struct {
-	at     Time
-	number uint64
-	run    func()
-}
-
-type events []event
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].number < h[j].number
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *events) Pop() any {
-	end := len(*h) - 1
-	e := (*h)[end]
-	(*h)[end] = event{}
-	*h = (*h)[:end]
-	return e
-}
-
-// at books work for a time, now at the soonest.
-func (w *world) at(t Time, run func()) {
-	w.booked++
-	heap.Push(&w.due, event{max(t, w.now), w.booked, run})
-}
-
-func (w *world) after(d time.Duration, run func()) { w.at(w.now+d, run) }
-
-// between draws a time.
-func (w *world) between(least, most time.Duration) time.Duration {
-	if most <= least {
-		return least
-	}
-	return least + time.Duration(w.rng.Int64N(int64(most-least)))
-}
-
-func (w *world) chance(p float64) bool { return p > 0 && w.rng.Float64() < p }
-
 // strikes draws whether a fault of the network happens now. Past faultsOver none does.
 func (w *world) strikes(p float64) bool { return w.now < faultsOver && w.chance(p) }
 
-// note adds a line to the event log.
-func (w *world) note(what string, about ...string) {
-	b := strconv.AppendInt(w.line[:0], int64(w.now), 10)
-	b = append(append(b, ' '), what...)
-	for _, a := range about {
-		b = append(append(b, ' '), a...)
-	}
-	w.line = append(b, '\n')
-	w.hash.Write(w.line)
-	w.report.Events++
-	if w.opt.Trace != nil {
-		w.opt.Trace(w.line)
-	}
-}
-
-func (w *world) broken(rule, format string, args ...any) {
-	w.report.Broken = append(w.report.Broken, Broken{rule, w.now, fmt.Sprintf(format, args...)})
-	w.note("broken", rule)
-}
-
 // most is how many steps a run may take: one that goes round in circles is broken, not endless.
 const most = 1_000_000
 
@@ -177,7 +105,7 @@
 func Run(plan *Plan, opt Options) (report *Report) {
 	began := time.Now()
 	report = &Report{Seed: plan.Seed, Faults: plan.Words()}
-	w := &world{plan: plan, opt: opt, rng: model.Stream(plan.Seed, "sim/net"), hash: xxhash.New(), report: report,
+	w := &world{plan: plan, timeline: newTimeline(model.Stream(plan.Seed, "sim/net"), opt, report),
 		classes: map[string]scenario.Class{}, doors: map[doorKey]model.DoorState{}, servers: map[model.ConnID]*serverConn{}, calls: map[uint64]*call{}}
 	defer func() {
 		if p := recover(); p != nil {
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -10,11 +10,10 @@
 // seedsInCI is how many seeds each run of the tests plays; the race detector's build plays a part of them.
 var seedsInCI = uint64(300)
 
-// TestSeeds plays fleets of which each seed breaks something else: every rule is kept in all of them.
-func TestSeeds(t *testing.T) {
+// play plays the first seeds on all processors and hands each report to look, one at a time.
+func play(seeds uint64, run func(seed uint64) *Report, look func(r *Report)) {
 	var mu sync.Mutex
-	served, kills, next := 0, 0, uint64(0)
-	words := map[string]int{}
+	next := uint64(0)
 	var workers sync.WaitGroup
 	for range runtime.GOMAXPROCS(0) {
 		workers.Go(func() {
@@ -23,23 +22,32 @@
 				seed := next
 				next++
 				mu.Unlock()
-				if seed >= seedsInCI {
+				if seed >= seeds {
 					return
 				}
-				r := Run(Draw(seed, nil), Options{})
+				r := run(seed)
 				mu.Lock()
-				served, kills = served+r.Served, kills+r.Kills+r.Restarts
-				for _, w := range r.Faults {
-					words[w]++
-				}
-				if len(r.Broken) > 0 {
-					t.Errorf("%s; shelflab simulate --replay %d shows it", r, seed)
-				}
+				look(r)
 				mu.Unlock()
 			}
 		})
 	}
 	workers.Wait()
+}
+
+// TestSeeds plays nodes under load, of which each seed breaks something else: every rule is kept in all of them.
+func TestSeeds(t *testing.T) {
+	served, kills := 0, 0
+	words := map[string]int{}
+	play(seedsInCI, func(seed uint64) *Report { return Run(Draw(seed, nil), Options{}) }, func(r *Report) {
+		served, kills = served+r.Served, kills+r.Kills+r.Restarts
+		for _, w := range r.Faults {
+			words[w]++
+		}
+		if len(r.Broken) > 0 {
+			t.Errorf("%s; shelflab simulate --replay %d shows it", r, r.Seed)
+		}
+	})
 	if uint64(served) < 200*seedsInCI || uint64(kills) < seedsInCI/4 {
 		t.Errorf("%d served, %d processes ended in %d runs: they tell little", served, kills, seedsInCI)
 	}
@@ -50,13 +58,33 @@
 	}
 }
 
+// TestFleetSeeds plays what nodes agree on among themselves.
+func TestFleetSeeds(t *testing.T) {
+	words := map[string]int{}
+	play(seedsInCI/2, func(seed uint64) *Report { return RunFleet(DrawFleet(seed, nil), Options{}) }, func(r *Report) {
+		for _, w := range r.Faults {
+			words[w]++
+		}
+		if len(r.Broken) > 0 {
+			t.Errorf("%s; shelflab simulate --fleet --replay %d shows it", r, r.Seed)
+		}
+	})
+	for k := range fleetFaultKinds {
+		if words[k.String()] == 0 {
+			t.Errorf("no seed had %s", k)
+		}
+	}
+}
+
 // TestReplayIsExact: a seed gives the same event log each time, byte for byte, beside others and alone.
 func TestReplayIsExact(t *testing.T) {
 	logs := make([]bytes.Buffer, 6)
 	var workers sync.WaitGroup
 	for i := range logs {
 		workers.Go(func() {
-			Run(Draw(uint64(40+i%2), nil), Options{Trace: func(line []byte) { logs[i].Write(line) }})
+			trace := Options{Trace: func(line []byte) { logs[i].Write(line) }}
+			Run(Draw(uint64(40+i%2), nil), trace)
+			RunFleet(DrawFleet(uint64(40+i%2), nil), trace)
 		})
 	}
 	workers.Wait()
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -212,7 +212,9 @@
 
 	high     uint64 // greatest token that is known to have been held: what comes under a lesser one is old
 	promised uint64 // greatest token granted: whoever asks anew has to have a greater one
-	released uint64 // token that its holder gave back: what still comes under it was on its way
+	// The last token that each node gave back: what still comes from it under that was on its way. A token that one node asked under in
+	// vain says nothing of a lower one that another holds.
+	released map[int]uint64
 
 	to      int // whom this node granted it
 	token   uint64
@@ -253,7 +255,7 @@
 	}
 	c := &Core{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch))}
 	for _, name := range cfg.Duties {
-		c.duties = append(c.duties, &duty{name: name, id: Name(name), to: None, holder: None})
+		c.duties = append(c.duties, &duty{name: name, id: Name(name), to: None, holder: None, released: map[int]uint64{}})
 	}
 	return c, nil
 }
@@ -436,7 +438,9 @@
 		return Taken
 	case d.to != None && d.to != from && now < d.granted:
 		return Contested // a node that asks under another token has given the one before back
-	case token < d.high || token <= d.released || token <= d.promised && !same && !held:
+	case d.to == from && token < d.token && now < d.granted:
+		return Old // a renewal of before that comes late: what the node gave back under it must not take the grant of now with it
+	case token < d.high || token <= d.released[from] || token <= d.promised && !same && !held:
 		return Old
 	}
 	// A holder is granted its token again though another node was granted a greater one meanwhile and did not win: it must
@@ -507,14 +511,15 @@
 			c.vote(now, d, e.From, m.round, m.why, time.Duration(m.left)*time.Millisecond)
 		}
 	case kindRelease:
+		d.released[e.From] = max(d.released[e.From], m.token)
 		if d.to == e.From && d.token == m.token {
-			d.to, d.released = None, max(d.released, m.token)
+			d.to = None
 		}
 		if d.holder == e.From && d.heardOf == m.token {
 			c.know(now, d, None, m.token)
 		}
 	case kindWord:
-		if m.token < d.high || m.token <= d.released {
+		if m.token < d.high || m.token <= d.released[e.From] {
 			c.note(NoteStale, d, e.From, m.token, Old)
 			return
 		}
@@ -525,7 +530,7 @@
 
 // heardHolder takes it that a node holds a duty, as it says itself: it had more than half of the fleet for it.
 func (c *Core) heardHolder(now Time, d *duty, from int, token uint64) {
-	if token < d.high || token <= d.released || d.held && token <= d.own {
+	if token < d.high || token <= d.released[from] || d.held && token <= d.own {
 		return
 	}
 	d.high = token
@@ -546,6 +551,7 @@
 			c.know(now, d, None, d.heardOf)
 		}
 		d.to, d.nextAt = None, 0
+		clear(d.released) // of nodes that have other numbers now
 	}
 	c.cfg, c.begun = next, now
 }
--- a/internal/lease/core_test.go
+++ b/internal/lease/core_test.go
@@ -387,6 +387,48 @@
 	}
 }
 
+// TestWhatComesLate: what a node that granted a duty makes of words that come late, and of asks that came to nothing.
+func TestWhatComesLate(t *testing.T) {
+	type word struct {
+		from  int
+		kind  byte
+		token uint64
+		flags byte
+		after time.Duration // the one before
+		want  Reason        // reasons: any
+	}
+	for name, words := range map[string][]word{
+		// shelflab simulate --fleet, seed 1385: two had the duty.
+		"a renewal under an earlier token, and the word that gave that back, leave a grant": {{0, kindAsk, 2000, 0, 0, Granted},
+			{0, kindAsk, 1000, flagHeld, 0, reasons}, {0, kindRelease, 1000, 0, 0, reasons}, {2, kindAsk, 2500, 0, 0, Contested}},
+		// shelflab simulate --fleet, seed 1759: the holder had the vote of this node no more.
+		"an ask under a greater token that came to nothing leaves the holder its vote": {{0, kindAsk, 1000, 0, 0, Granted}, {0, kindAsk, 1000, flagHeld, 0, Granted},
+			{2, kindAsk, 2000, 0, 2 * testLease, Granted}, {2, kindRelease, 2000, 0, 0, reasons}, {0, kindAsk, 1000, flagHeld, 0, Granted}},
+		"what was given back is not renewed": {{0, kindAsk, 1000, 0, 0, Granted}, {0, kindRelease, 1000, 0, 0, reasons}, {0, kindAsk, 1000, flagHeld, 0, Old}},
+	} {
+		c, err := New(Config{Self: 1, Nodes: 3, Fleet: 1, Duties: []string{"d"}, Lease: testLease, Drift: drift, Epoch: 1_000_000})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Step(0, Tick{})
+		now := 2 * testLease
+		for i, w := range words {
+			now += w.after
+			got := reasons
+			for _, e := range c.Step(now, Heard{w.from, message{kind: w.kind, fleet: 1, duty: Name("d"), token: 1_000_000 + w.token, round: 1, flags: w.flags}.encode()}) {
+				if s, ok := e.(Send); ok && s.To == w.from {
+					if m, err := decode(s.Data); err == nil && m.kind == kindAnswer {
+						got = m.why
+					}
+				}
+			}
+			if w.want != reasons && got != w.want {
+				t.Errorf("%s: word %d is answered with %v, want %v", name, i, got, w.want)
+			}
+		}
+	}
+}
+
 // TestHowLongAnswersCount plays one node of three, of which another answers by hand.
 func TestHowLongAnswersCount(t *testing.T) {
 	const at = 2 * time.Second
--- a/internal/rollout/core.go
+++ b/internal/rollout/core.go
@@ -66,20 +66,21 @@
 
 // The reasons.
 const (
-	Granted     Reason = iota
-	Taken              // another node has the slot
-	Over               // so many are out already
-	Halted             // the release is halted
-	Abstains           // it has just started and does not know yet what it granted before
-	ByOperator         // halted by hand
-	NodeBroken         // a node that started does badly
-	NotReturned        // a node that went out did not come back
-	Superfluous        // the ask is over already
+	Granted      Reason = iota
+	Taken               // another node has the slot
+	Over                // so many are out already
+	Halted              // the release is halted
+	Abstains            // it has just started and does not know yet what it granted before
+	ByOperator          // halted by hand
+	NodeBroken          // a node that started does badly
+	NotReturned         // a node that went out did not come back
+	Superfluous         // the ask is over already
+	NotInstalled        // a node that went out for a release came back with another
 	reasons
 )
 
 func (r Reason) String() string {
-	return [...]string{"granted", "slot_taken", "over_budget", "halted", "abstains", "by_operator", "node_broken", "not_returned", "superfluous"}[r]
+	return [...]string{"granted", "slot_taken", "over_budget", "halted", "abstains", "by_operator", "node_broken", "not_returned", "superfluous", "not_installed"}[r]
 }
 
 // Event is what the core is told: one of the types below it.
@@ -190,8 +191,9 @@
 // grant is a slot that this node gave, or heard that others did.
 type grant struct {
 	entry
-	at   Time // when it was last granted
-	told bool // that the holder did not return
+	at    Time   // when it was last granted
+	told  bool   // that the holder did not return
+	order uint16 // the order that stood then
 }
 
 // Core is the agreement as one node takes part in it. It is not safe for concurrent use.
@@ -202,6 +204,7 @@
 	started bool
 
 	state State
+	fitAt Time // since when it is fit
 	upAt  Time
 	up    bool
 	// Answers of the node, which fade while it is fit: what others are judged by is how it goes now.
@@ -216,7 +219,7 @@
 	count  uint32
 	beacon Time // when the next one is due
 
-	wants   bool
+	asked   bool // to go out, by an operator
 	trying  bool
 	ask     ask
 	askedAt Time
@@ -297,7 +300,7 @@
 	case Served:
 		c.served(now, e)
 	case Leave:
-		c.wants = true
+		c.asked = true
 	case Going:
 		c.leave(now)
 	case Roll:
@@ -337,7 +340,7 @@
 // look does what is due.
 func (c *Core) look(now Time) {
 	if c.state == Starting && c.up && now-c.upAt >= c.cfg.Watch {
-		c.state, c.beacon = Fit, now
+		c.state, c.fitAt, c.beacon = Fit, now, now
 		c.note(NoteFit, c.cfg.Self, 0, Granted)
 		c.free(c.cfg.Self, c.cfg.Start, c.done) // what its process before had
 	}
@@ -430,14 +433,21 @@
 	}
 }
 
-// obey takes an order: a node that runs another release wants to go out.
+// obey takes an order.
 func (c *Core) obey(o order) {
 	if o.Epoch <= c.order.Epoch {
 		return
 	}
 	c.order = o
 	c.note(NoteOrdered, c.cfg.Self, 0, Granted)
-	c.wants = o.Release != 0 && o.Release != c.release
+}
+
+// wants tells whether this node is to go out: an operator asked it to, or the last order names another release than it runs. An
+// order for its own release does not take back what an operator asked of this node alone. A node that has just come back lets
+// the others see first what it runs.
+func (c *Core) wants(now Time) bool {
+	seen := c.state == Broken || c.state == Fit && now-c.fitAt >= c.cfg.Silent
+	return c.asked || seen && c.order.Release != 0 && c.order.Release != c.release
 }
 
 // silent tells whether a node has not spoken for too long.
@@ -545,15 +555,25 @@
 			if g.entry != e {
 				c.note(NoteGranted, from, int(a.Slot), Granted)
 			}
-			g.entry, g.at, g.told = e, now, false
+			g.entry, g.at, g.told, g.order = e, now, false, c.order.Epoch
 			return Granted
 		}
 	}
 	c.note(NoteGranted, from, int(a.Slot), Granted)
-	c.grants = append(c.grants, grant{entry: e, at: now})
+	c.grants = append(c.grants, grant{entry: e, at: now, order: c.order.Epoch})
 	return Granted
 }
 
+// compare halts the release where a node that went out for it came back with another: nothing else is installed there, and it
+// would go out again and again.
+func (c *Core) compare(from int, m beacon) {
+	if c.order.Release != 0 && m.Release != c.order.Release && slices.ContainsFunc(c.grants, func(g grant) bool {
+		return int(g.Holder) == from && g.Start < m.Start && g.order == c.order.Epoch
+	}) {
+		c.raise(NotInstalled, from)
+	}
+}
+
 // free gives back what a node had, up to an ask of one of its processes.
 func (c *Core) free(node int, start uint64, ask uint32) {
 	c.grants = slices.DeleteFunc(c.grants, func(g grant) bool {
@@ -595,6 +615,7 @@
 	p.met, p.heard, p.start, p.count, p.state, p.well = true, now, m.Start, m.Count, m.State, m.Health
 	p.done = max(p.done, m.Done)
 	if m.State == Fit {
+		c.compare(from, m)
 		c.free(from, m.Start, m.Done) // of this process: what is over; of earlier ones: all
 	}
 	if m.Halt.Epoch > c.halt.Epoch || m.Halt.Epoch == c.halt.Epoch && m.Halt.On && !c.halt.On {
@@ -628,7 +649,13 @@
 
 // pursue asks for a slot, again and again until it has one.
 func (c *Core) pursue(now Time) {
-	if !c.wants || c.state == Leaving {
+	if c.state == Leaving {
+		return
+	}
+	if !c.wants(now) {
+		if c.trying || c.held { // the way back was ordered meanwhile: others must not keep the slot for this node
+			c.giveUp(now, Superfluous)
+		}
 		return
 	}
 	if c.held {
@@ -739,7 +766,7 @@
 
 // Status tells who is out, and why nothing goes on where it does not.
 func (c *Core) Status(now Time) Status {
-	s := Status{Node: c.cfg.Self, State: c.state.String(), Wants: c.wants, Budget: c.cfg.Budget, HaltedBy: -1, Out: []StatusNode{}}
+	s := Status{Node: c.cfg.Self, State: c.state.String(), Wants: c.wants(now), Budget: c.cfg.Budget, HaltedBy: -1, Out: []StatusNode{}}
 	if c.halt.On {
 		s.Halted, s.HaltedBy = c.halt.Reason.String(), int(c.halt.By)
 	}
--- a/internal/rollout/core_test.go
+++ b/internal/rollout/core_test.go
@@ -353,6 +353,29 @@
 			w.step(1, Leave{})
 			w.pass(15 * time.Second)
 		}, 1, false},
+		"an order for the release of a node leaves what an operator asked of it": {3, 1, func(w *world) {
+			w.pass(5 * time.Second)
+			w.step(0, Halt{})
+			w.step(0, Leave{})
+			w.step(0, Roll{"v1"}) // which also ends the halt
+			w.pass(10 * time.Second)
+		}, 1, false},
+		"the way back frees the slot that was asked for": {3, 1, func(w *world) {
+			w.pass(5 * time.Second)
+			w.each(func(i int) { w.cut[i][1], w.cut[i][2] = i == 0, i == 0 }) // it has asked, and hears no answer
+			w.step(0, Roll{"v2"})
+			w.nodes[1].decide(w.clock(1), 0, w.nodes[0].ask)
+			w.nodes[2].decide(w.clock(2), 0, w.nodes[0].ask)
+			w.step(0, Roll{"v1"})
+			w.each(func(i int) { w.cut[i] = make([]bool, 3) })
+			w.step(1, Leave{})
+			w.pass(10 * time.Second)
+		}, 1, false},
+		"a release that is not installed halts": {5, 1, func(w *world) {
+			w.pass(5 * time.Second)
+			w.step(2, Roll{"v2"})
+			w.pass(30 * time.Second)
+		}, 1, true},
 		"all start at once": {5, 2, func(w *world) {
 			w.pass(5 * time.Second)
 			w.each(func(i int) { w.kill(i); w.back[i] = w.now + time.Second })
