--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -264,6 +264,12 @@
 		p.push(c, f, fx)
 		return 0, true
 	}
+	for _, c := range p.conns {
+		if len(c.pending) == 0 && c.writing != nil { // its answer came before the word that it is written: it is free in a moment
+			p.push(c, f, fx)
+			return 0, true
+		}
+	}
 	if c := p.young(now, f); c != nil && !p.growth.want(time.Duration(now.UnixNano())) {
 		p.push(c, f, fx)
 		return 0, true
--- a/internal/forward/core_test.go
+++ b/internal/forward/core_test.go
@@ -39,6 +39,37 @@
 	return Answer{}, false, ErrGarbage
 }
 
+// TestAnsweredBeforeItIsWritten: a connection whose answer overtakes the word that its request is written carries the next forward;
+// none is opened for it.
+func TestAnsweredBeforeItIsWritten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := NewCore("s", line{}, Limits{Connect: time.Second, Idle: time.Minute, Streams: 1, Conns: 4, Waiting: 4}, NewBudget(4))
+	first, next := &Forward{Flow: &flow.Flow{}, Sent: now}, &Forward{Flow: &flow.Flow{}, Sent: now}
+	var fx Effects
+	p.Send(now, first, &fx)
+	c := fx[0].Conn
+	p.Dialed(now, c, true, &fx)
+	if p.Pull(now, c, false, &fx) != first {
+		t.Fatal("it is not written")
+	}
+	c.Decoder.Space()[0] = 'a'
+	p.Received(now, c, 1, &fx)
+	fx = nil
+	p.Send(now, next, &fx)
+	for _, e := range fx {
+		if e.Kind == Dial {
+			t.Error("another connection is opened")
+		}
+	}
+	if p.Pull(now, c, false, &fx) != nil {
+		t.Error("the next is written into the one before")
+	}
+	p.Wrote(now, c, true, true, &fx)
+	if p.Pull(now, c, false, &fx) != next {
+		t.Error("the next is not written")
+	}
+}
+
 // TestCoreInAnyOrder calls a pool's core in any order that a shell could: each forward ends once or is given up, none is
 // written to a server that left or after it was given up, what is said never to have run was not written whole, descriptors are
 // given back, and the limits hold.
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -124,9 +124,10 @@
 // errMore says that the response has not come whole.
 var errMore = errors.New("more bytes are wanted")
 
-// more makes the end of what came into a wish for more.
+// more makes the end of what came into a wish for more. The codec has an error of its own, which it does not export, for the end
+// within a trailer.
 func more(err error) error {
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || err != nil && err.Error() == "http: unexpected EOF reading trailer" {
 		return errMore
 	}
 	return err
@@ -134,19 +135,21 @@
 
 // response reads one response, with the 1xx answers that may come ahead of it.
 func (d *decoder) response(ended bool) (forward.Answer, error) {
-	if bytes.Index(d.buf[:d.end], []byte("\n\r\n")) < 0 && bytes.Index(d.buf[:d.end], []byte("\n\n")) < 0 {
-		return forward.Answer{}, errMore
-	}
-	resp, err := http.ReadResponse(d.rd, nil)
-	// 1xx answers come ahead of the one that counts; after 101 the connection would speak another protocol.
-	for n := 0; err == nil && resp.StatusCode < 200; n++ {
-		if n == maxInterim || resp.StatusCode == http.StatusSwitchingProtocols {
+	var resp *http.Response
+	// 1xx answers come ahead of the one that counts; after 101 the connection would speak another protocol. The codec takes half a
+	// line at the end for a whole one, so each header is read once all of it is there.
+	for n := 0; resp == nil || resp.StatusCode < 200; n++ {
+		if resp != nil && (n > maxInterim || resp.StatusCode == http.StatusSwitchingProtocols) {
 			return forward.Answer{}, forward.ErrGarbage
 		}
-		resp, err = http.ReadResponse(d.rd, nil)
-	}
-	if err != nil {
-		return forward.Answer{}, more(err)
+		rest := d.buf[d.end-d.in.Len()-d.rd.Buffered() : d.end]
+		if !bytes.Contains(rest, []byte("\n\r\n")) && !bytes.Contains(rest, []byte("\n\n")) {
+			return forward.Answer{}, errMore
+		}
+		var err error
+		if resp, err = http.ReadResponse(d.rd, nil); err != nil {
+			return forward.Answer{}, more(err)
+		}
 	}
 	defer resp.Body.Close()
 	body, err := d.body(resp, ended)
