Run many nodes under a supervisor that keeps their sockets and replaces them

Change: internal/supervise is a core without clock, processes or I/O: a successor beside each node in its turn, the node before told once it is ready; halts where a successor crashes, is late, ends soon or fails more than the others; back-off with full jitter; overdue processes killed. internal/supervise/agent runs the processes, internal/handover passes the listening socket (LISTEN_FDS) and a pipe for `ready` and counts of answers. `shelfproxy fleet FILE`, `ctl instances|replace|halt|resume|stop`. A node on SIGUSR2 accepts no more at once, frees its datagrams' address and goes on for its grace; its successor takes address and control socket when they are free. A node whose supervisor is gone ends in order. The platform's run line is as before and inherits nothing.

Seen on the way: with the node accepting on through its grace, as after SIGTERM, one connection in 2,300 was accepted and closed unread (TestNodesAreReplacedWithoutAGap, "on a new connection: EOF"); and a successor gave up its control socket as "in use".

Weighed in docs/supervise.md: SO_REUSEPORT, SCM_RIGHTS between processes, all instances in one process, start after the end. Tests: TestRoll, TestCrashes, TestOverdue, TestAnyOrder (rapid), TestWords; real processes: TestNodesAreReplacedWithoutAGap, TestNodeThatIsKilled, TestSupervisorIsKilled, TestBadFleetFile.

--- a/cmd/shelfproxy/ctl.go
+++ b/cmd/shelfproxy/ctl.go
@@ -51,6 +51,15 @@
 	verb("resume", "Let nodes go out again after a halt", http.MethodPost, "/resume", cobra.NoArgs, none)
 	verb("roll RELEASE", "Have every node of another release go out in its turn; the release before is the way back", http.MethodPost, "/roll",
 		cobra.ExactArgs(1), func(words []string) url.Values { return url.Values{"to": words[:1]} })
+	verb("instances", "Say what the processes of a supervisor do", http.MethodGet, "/instances", cobra.NoArgs, none)
+	verb("stop", "End a supervisor and all its nodes", http.MethodPost, "/stop", cobra.NoArgs, none)
+	verb("replace [INSTANCE]", "Have a supervisor replace the processes of one instance, or of all in turn", http.MethodPost, "/replace", cobra.MaximumNArgs(1),
+		func(words []string) url.Values {
+			if len(words) == 0 {
+				return nil
+			}
+			return url.Values{"instance": words}
+		})
 	return c
 }
 
--- a/cmd/shelfproxy/main.go
+++ b/cmd/shelfproxy/main.go
@@ -77,7 +77,7 @@
 			return w.Flush()
 		}})
 	root.AddCommand(conf)
-	root.AddCommand(ctl(load))
+	root.AddCommand(ctl(load), fleet())
 	return root
 }
 
--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -14,6 +14,7 @@
 	"runtime/debug"
 	"runtime/metrics"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +30,7 @@
 	"shelfproxy/internal/fleet/membership"
 	"shelfproxy/internal/flow"
 	"shelfproxy/internal/forward"
+	"shelfproxy/internal/handover"
 	"shelfproxy/internal/lease"
 	dutyAgent "shelfproxy/internal/lease/agent"
 	"shelfproxy/internal/listener"
@@ -61,6 +63,8 @@
 	duties           *dutyAgent.Agent   // nil where each node does for itself
 	members          *memberAgent.Agent // nil where nobody looks who is there
 	socket           *peers.Socket      // nil where nodes may not talk to each other
+	parent           *handover.Parent   // a supervisor, if one started this process
+	told             rollout.Served     // to the supervisor
 	leave            chan struct{}
 	memory           admission.Memory
 	pressure         float64 // as the node was told
@@ -72,7 +76,12 @@
 	// From here on, as a signal that is not caught ends the program. One of a kind that waits is enough: it is
 	// looked at after the others came.
 	hup, term, usr := catch(syscall.SIGHUP), catch(syscall.SIGTERM, syscall.SIGINT), catch(syscall.SIGUSR1)
-	d, err := assemble(cfg, file)
+	replaced := catch(handover.Replaced)
+	parent, err := handover.Inherit()
+	if err != nil {
+		return err
+	}
+	d, err := assemble(cfg, file, parent)
 	if err != nil {
 		return err
 	}
@@ -96,11 +105,23 @@
 	go d.serveControl(d.cfg.Operator.Rollout.Control, ended)
 	d.log.Info("the node is up", logs.Event, "started", "name", cfg.Name, "listen", cfg.Listen, "cores", cfg.Cores,
 		"memory_mb", cfg.MemoryMB, "sockets", cfg.Sockets)
+	parent.Ready()
 
 	begun := time.Now()
 	looks := time.NewTicker(look)
 	defer looks.Stop()
 	var over <-chan struct{} // once SIGTERM came; reloads go on until then
+	end := func(what, event string) {
+		if over != nil {
+			return
+		}
+		d.log.Info(what, logs.Event, event)
+		if d.agent != nil {
+			d.agent.Post(rollout.Going{})
+		}
+		d.resign()
+		over = d.shutDown()
+	}
 	for {
 		select {
 		case <-hup:
@@ -108,23 +129,20 @@
 		case <-looks.C:
 			d.divide(time.Since(begun))
 			d.weigh(time.Since(begun))
+			if !d.report() {
+				end("the supervisor is gone, and with it who would start this node again", "supervisor_gone")
+			}
 		case <-usr:
 			d.tally()
 		case <-d.leave:
-			if over == nil {
-				d.log.Info("the node goes out by agreement of the fleet", logs.Event, "rollout_leaves")
-				d.resign()
-				over = d.shutDown()
+			end("the node goes out by agreement of the fleet", "rollout_leaves")
+		case <-replaced: // connections that are open go on for the grace, new ones are the successor's
+			if d.parent.Listener != nil {
+				d.front.StopAccepting()
 			}
+			end("another process has this node's place", "replaced")
 		case <-term:
-			d.resign()
-			if d.agent != nil {
-				d.agent.Post(rollout.Going{})
-			}
-			if over == nil {
-				d.log.Info("the node ends", logs.Event, "stopping")
-				over = d.shutDown()
-			}
+			end("the node ends", "stopping")
 		case <-over:
 			close(stop)
 			<-ended
@@ -135,7 +153,7 @@
 }
 
 // assemble makes the node's parts and opens its listener.
-func assemble(cfg *config.Config, file string) (*daemon, error) {
+func assemble(cfg *config.Config, file string, parent *handover.Parent) (*daemon, error) {
 	op := cfg.Operator
 	level, _ := logs.Level(op.Log.Level) // checked as it was read
 	log := logs.New(os.Stderr, logs.Options{Level: level, Format: op.Log.Format})
@@ -176,7 +194,7 @@
 	originLimits := limits
 	originLimits.Streams, originLimits.Conns = 1, cfg.Sockets // the budget bounds them
 
-	socket, err := openPeers(cfg, log)
+	socket, err := openPeers(cfg, log, parent.Listener != nil)
 	if err != nil { // messages are a help and no need: better a node that judges alone than none
 		logs.Component(log, "peers").Error("the node tells the others nothing and hears nothing", logs.Event, "peers_unavailable",
 			"error", err.Error())
@@ -244,22 +262,32 @@
 		}
 		go listenToPeers(socket, heard, count, logs.Component(log, "peers"))
 	}
-	ln, err := bind(log, cfg.Listen, func() (net.Listener, error) { return net.Listen("tcp", cfg.Listen) })
+	ln := parent.Listener
+	if ln == nil {
+		ln, err = bind(log, cfg.Listen, func() (net.Listener, error) { return net.Listen("tcp", cfg.Listen) })
+	} else if _, port, _ := net.SplitHostPort(cfg.Listen); strconv.Itoa(ln.Addr().(*net.TCPAddr).Port) != port {
+		err = fmt.Errorf("%s is configured, and the inherited socket is at %s", cfg.Listen, ln.Addr())
+	}
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	front := listener.New(ln, n, classes, tenants, listener.Limits{Conns: start[admission.Clients],
 		Pipelined: min(op.Listener.Pipelined, max(leastPipelined, cfg.MemoryMB/pipelinedMB)), Value: 64 << 10, Write: op.Listener.Write.D(), Silent: op.Listener.Silent.D(),
 		Crowd: op.Listener.IdleCrowded.D(), Idle: op.Listener.Idle.D(), Owed: cfg.MemoryMB << 20 / 6}, count)
-	return &daemon{agent: agreement, duties: duties, members: members, socket: socket, leave: leave, memory: admission.Memory{Limit: int64(cfg.MemoryMB) << 20}, cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front,
+	return &daemon{agent: agreement, duties: duties, members: members, socket: socket, parent: parent, leave: leave, memory: admission.Memory{Limit: int64(cfg.MemoryMB) << 20}, cfg: cfg, file: file, log: logs.Component(log, "daemon"), count: count, node: n, front: front,
 		split: admission.NewSplit(split), targets: targets, origins: origins}, nil
 }
 
 // openPeers opens the socket to the other nodes, where the deployment allows messages and says where they go.
-func openPeers(cfg *config.Config, log *slog.Logger) (*peers.Socket, error) {
+//
+// Beside a process that this one replaces the address is not free yet: it is taken once that one lets go of it.
+func openPeers(cfg *config.Config, log *slog.Logger, replaces bool) (*peers.Socket, error) {
 	if !cfg.Tells() {
 		return nil, nil
 	}
+	if replaces {
+		return peers.Later(cfg.Peers)
+	}
 	return bind(log, cfg.Peers.Listen, func() (*peers.Socket, error) { return peers.Open(cfg.Peers) })
 }
 
@@ -344,6 +372,32 @@
 	if d.members != nil {
 		d.members.Leave()
 	}
+	if d.parent.Listener != nil && d.socket != nil { // a successor waits for the address of the datagrams
+		go func() {
+			// What was posted before is out once each has taken one thing more.
+			if d.agent != nil {
+				d.agent.Ask(func() {})
+			}
+			if d.duties != nil {
+				d.duties.Ask(func() {})
+			}
+			if d.members != nil {
+				d.members.Ask(func() {})
+			}
+			d.socket.Close()
+		}()
+	}
+}
+
+// report tells a supervisor how it goes, and whether it is still there.
+func (d *daemon) report() bool {
+	if !d.parent.Watched() {
+		return true
+	}
+	answers, failed := d.count.Total(int(flow.Failed))
+	err := d.parent.Served(answers-d.told.Answers, failed-d.told.Failed)
+	d.told = rollout.Served{Answers: answers, Failed: failed}
+	return err == nil
 }
 
 // serveControl takes operators' calls at an address, beside the loop of run, which owns d.cfg. Without it the node serves on,
@@ -359,7 +413,19 @@
 	if d.members != nil {
 		d.members.Register(s)
 	}
-	if err := s.Serve(stop); err != nil {
+	err := s.Serve(stop)
+	for told := false; errors.Is(err, control.ErrInUse); err = s.Serve(stop) {
+		if !told {
+			told = true
+			d.log.Warn("operators' calls go to another process; waiting for its end", logs.Event, "control_taken", "error", err.Error())
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(bindEvery):
+		}
+	}
+	if err != nil {
 		d.log.Error("operators' calls are not taken", logs.Event, "control_failed", "error", err.Error())
 	}
 }
@@ -372,6 +438,9 @@
 			log.Warn("a datagram came that no node of this tier sent", logs.Event, "peer_foreign", "from", from.String())
 		})
 	})
+	if errors.Is(err, net.ErrClosed) {
+		return // by this node, as it ends
+	}
 	log.Error("other nodes are no longer heard", logs.Event, "peers_ended", "error", err.Error())
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -22,6 +22,9 @@
 // Call carries one call out. Its answer is written as JSON. It must not wait for other nodes.
 type Call func(query url.Values) (any, error)
 
+// ErrInUse says that another process takes calls at the path. It may be one that this one replaces, and end.
+var ErrInUse = errors.New("another process answers there")
+
 // ErrBusy says that the part is behind with its own work; the call was not carried out.
 var ErrBusy = errors.New("busy")
 
@@ -50,7 +53,7 @@
 	}
 	if c, err := net.Dial("unix", s.path); err == nil { // another process answers there
 		c.Close()
-		return fmt.Errorf("control: %s is in use", s.path)
+		return fmt.Errorf("control: %s: %w", s.path, ErrInUse)
 	}
 	os.Remove(s.path) // of a process before
 	ln, err := net.Listen("unix", s.path)
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -151,6 +151,9 @@
 	}
 }
 
+// StopAccepting leaves new connections to whoever else accepts at the same socket.
+func (l *Listener) StopAccepting() { l.ln.Close() }
+
 // Close stops accepting and closes connections as soon as nothing is owed on them.
 func (l *Listener) Close() {
 	l.ln.Close()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -3,11 +3,14 @@
 package peers
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // MaxBytes is the longest datagram that the platform takes.
@@ -22,9 +25,12 @@
 
 // Socket sends to all nodes and receives from them.
 type Socket struct {
-	conn *net.UDPConn
-	self netip.AddrPort
-	far  atomic.Pointer[far]
+	conn   atomic.Pointer[net.UDPConn] // nil until the address is free
+	opened chan struct{}               // closed once it is
+	closed chan struct{}
+	once   sync.Once
+	self   netip.AddrPort
+	far    atomic.Pointer[far]
 }
 
 // far is where the other nodes are.
@@ -60,19 +66,69 @@
 
 // Open opens a node's socket.
 func Open(a Addresses) (*Socket, error) {
-	listen, all, from, err := a.parse()
+	s, err := newSocket(a)
+	if err == nil {
+		err = s.open()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// openEvery is how often Later looks whether the address is free.
+const openEvery = 20 * time.Millisecond
+
+// Later makes a node's socket at an address that the process before may still hold: it is opened once that one lets go of it. Until
+// then nothing is sent, as if it were lost.
+func Later(a Addresses) (*Socket, error) {
+	s, err := newSocket(a)
 	if err != nil {
 		return nil, err
 	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen))
+	go func() {
+		for s.open() != nil {
+			select {
+			case <-s.closed:
+				return
+			case <-time.After(openEvery):
+			}
+		}
+	}()
+	return s, nil
+}
+
+func newSocket(a Addresses) (*Socket, error) {
+	listen, all, from, err := a.parse()
 	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %w", err)
+		return nil, err
 	}
-	s := &Socket{conn: conn, self: listen}
+	s := &Socket{self: listen, opened: make(chan struct{}), closed: make(chan struct{})}
 	s.set(a, all, from)
 	return s, nil
 }
 
+func (s *Socket) open() error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.self))
+	if err != nil {
+		return fmt.Errorf("peer_listen: %w", err)
+	}
+	s.conn.Store(conn)
+	close(s.opened)
+	return nil
+}
+
+var errNotOpen = errors.New("peers: the address is not free yet")
+
+func (s *Socket) write(data []byte, to netip.AddrPort) error {
+	conn := s.conn.Load()
+	if conn == nil {
+		return errNotOpen
+	}
+	_, err := conn.WriteToUDPAddrPort(data, to)
+	return err
+}
+
 func (s *Socket) set(a Addresses, all netip.AddrPort, from map[netip.Addr]int) {
 	f := &far{all: all, from: from}
 	for _, p := range a.Peers {
@@ -114,8 +170,7 @@
 	if len(data) > MaxBytes {
 		return fmt.Errorf("peers: a datagram of %d bytes, %d are allowed", len(data), MaxBytes)
 	}
-	_, err := s.conn.WriteToUDPAddrPort(data, s.far.Load().all)
-	return err
+	return s.write(data, s.far.Load().all)
 }
 
 // TellTo sends a datagram to one node, by its number.
@@ -124,8 +179,7 @@
 	if len(data) > MaxBytes || node < 0 || node >= len(to) {
 		return fmt.Errorf("peers: no datagram of %d bytes goes to node %d", len(data), node)
 	}
-	_, err := s.conn.WriteToUDPAddrPort(data, to[node])
-	return err
+	return s.write(data, to[node])
 }
 
 // Self is this node's number among the peers, -1 if it is not among them.
@@ -134,9 +188,15 @@
 // Receive hands over every datagram of another node, with that node's number, and counts the others as foreign, until
 // the socket is closed. The bytes belong to the receiver.
 func (s *Socket) Receive(heard func(from int, data []byte), foreign func(netip.AddrPort)) error {
+	select {
+	case <-s.opened:
+	case <-s.closed:
+		return net.ErrClosed
+	}
+	conn := s.conn.Load()
 	buf := make([]byte, MaxBytes+1)
 	for {
-		n, addr, err := s.conn.ReadFromUDPAddrPort(buf)
+		n, addr, err := conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			return err
 		}
@@ -151,5 +211,11 @@
 	}
 }
 
-// Close ends Receive.
-func (s *Socket) Close() error { return s.conn.Close() }
+// Close ends Receive, and frees the address.
+func (s *Socket) Close() error {
+	s.once.Do(func() { close(s.closed) })
+	if conn := s.conn.Load(); conn != nil {
+		return conn.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/supervise/agent/agent.go
@@ -0,0 +1,226 @@
+// Package agent runs the processes of a supervisor. It decides nothing.
+package agent
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/url"
+	"os"
+	"os/exec"
+	"strconv"
+	"syscall"
+	"time"
+
+	"shelfproxy/internal/control"
+	"shelfproxy/internal/handover"
+	"shelfproxy/internal/logs"
+	"shelfproxy/internal/loop"
+	"shelfproxy/internal/supervise"
+)
+
+// Options are what an agent is made of.
+type Options struct {
+	Core    supervise.Config
+	Command func(instance int) (program string, args, env []string) // asked at each start
+	Listen  func(instance int) string                               // where clients come, host and port
+	Log     *slog.Logger
+}
+
+// Agent is a supervisor with its processes.
+type Agent struct {
+	*loop.Loop[supervise.Event, supervise.Effect]
+	opt     Options
+	core    *supervise.Core
+	sockets []*os.File // by instance; they outlive all processes
+	running map[int]*os.Process
+	done    chan struct{}
+}
+
+// tick is how often the core looks around.
+const tick = 50 * time.Millisecond
+
+// New opens the sockets; Serve starts the processes.
+func New(opt Options) (*Agent, error) {
+	core, err := supervise.New(opt.Core)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{opt: opt, core: core, running: map[int]*os.Process{}, done: make(chan struct{})}
+	a.Loop = loop.New(core, a.do)
+	for i := range opt.Core.Instances {
+		f, err := handover.ListenFile(opt.Listen(i))
+		if err != nil {
+			return nil, err
+		}
+		a.sockets = append(a.sockets, f)
+	}
+	return a, nil
+}
+
+// Serve keeps the processes running until all were stopped (supervise.Stop).
+func (a *Agent) Serve() {
+	a.Tell(func() { a.Step(supervise.Tick{}) })
+	a.Run(a.done, tick, func() { a.Step(supervise.Tick{}) })
+}
+
+// tell has the core take an event that must not be lost, however far the loop is behind.
+func (a *Agent) tell(ev supervise.Event) {
+	for !a.Post(ev) {
+		select {
+		case <-a.done:
+			return
+		case <-time.After(tick):
+		}
+	}
+}
+
+// Signal sends a signal to all processes.
+func (a *Agent) Signal(s os.Signal) {
+	a.Tell(func() {
+		for _, p := range a.running {
+			p.Signal(s)
+		}
+	})
+}
+
+func (a *Agent) do(e supervise.Effect) {
+	switch e := e.(type) {
+	case supervise.Start:
+		a.start(e)
+	case supervise.Term:
+		if p := a.running[e.Process]; p != nil && e.Replaced {
+			p.Signal(handover.Replaced)
+		} else if p != nil {
+			p.Signal(syscall.SIGTERM)
+		}
+	case supervise.Kill:
+		if p := a.running[e.Process]; p != nil {
+			p.Kill()
+		}
+	case supervise.Done:
+		close(a.done)
+	case supervise.Note:
+		level := slog.LevelInfo
+		switch e.Kind {
+		case supervise.Crashed, supervise.NotReady, supervise.Overdue, supervise.Halted, supervise.BadAnswer:
+			level = slog.LevelWarn
+		}
+		attrs := []slog.Attr{slog.String(logs.Event, "instance_"+e.Kind.String())}
+		if e.Instance >= 0 {
+			attrs = append(attrs, slog.Int("instance", e.Instance), slog.Int("process", e.Process))
+		}
+		if e.Kind == supervise.Waits {
+			attrs = append(attrs, slog.Duration("wait", e.Wait))
+		}
+		a.opt.Log.LogAttrs(context.Background(), level, "supervised processes", attrs...)
+	}
+}
+
+// start starts a process. One that cannot be started has ended.
+func (a *Agent) start(e supervise.Start) {
+	program, args, env := a.opt.Command(e.Instance)
+	child, err := handover.NewChild(a.sockets[e.Instance])
+	if err == nil {
+		cmd := exec.Command(program, args...)
+		cmd.Env, cmd.ExtraFiles, cmd.Stdout, cmd.Stderr = append(env, child.Env...), child.Files, os.Stdout, os.Stderr
+		cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // a ^C in the terminal is the supervisor's affair
+		err = cmd.Start()
+		child.Started()
+		if err == nil {
+			a.running[e.Process] = cmd.Process
+			go a.follow(e, cmd, child)
+			return
+		}
+		child.Drop()
+	}
+	a.opt.Log.Error("a process cannot be started", logs.Event, "instance_unstartable", "instance", e.Instance, "error", err.Error())
+	go a.tell(supervise.Exited{Process: e.Process})
+}
+
+// follow hands over what a process says, and its end.
+func (a *Agent) follow(e supervise.Start, cmd *exec.Cmd, child *handover.Child) {
+	heard := make(chan struct{})
+	go func() {
+		defer close(heard)
+		err := child.Listen(func() { a.tell(supervise.Ready{Process: e.Process}) },
+			func(answers, failed int) {
+				a.Post(supervise.Served{Process: e.Process, Answers: answers, Failed: failed})
+			})
+		if errors.Is(err, handover.ErrNonsense) {
+			a.opt.Log.Warn("a process said what makes no sense", logs.Event, "instance_nonsense", "instance", e.Instance, "process", e.Process)
+		}
+	}()
+	err := cmd.Wait()
+	select {
+	case <-heard:
+	case <-time.After(time.Second): // something that it started holds the pipe
+	}
+	a.opt.Log.Info("a process ended", logs.Event, "instance_exit", "instance", e.Instance, "process", e.Process, "pid", cmd.Process.Pid,
+		"state", cmd.ProcessState.String())
+	a.Tell(func() { delete(a.running, e.Process) })
+	a.tell(supervise.Exited{Process: e.Process, Clean: err == nil})
+}
+
+// Overview is what operators see.
+type Overview struct {
+	Halted    bool       `json:"halted"`
+	Instances []Instance `json:"instances"`
+}
+
+// Instance is one of them, with the number of the process that the system knows.
+type Instance struct {
+	supervise.Status
+	PID    int    `json:"pid"`
+	Listen string `json:"listen"`
+}
+
+// Register adds the operators' calls: instances, replace (with instance=N, or all), halt, resume and stop.
+func (a *Agent) Register(s *control.Server) {
+	look := func(url.Values) (any, error) {
+		var o Overview
+		if a.Ask(func() {
+			var all []supervise.Status
+			all, o.Halted = a.core.Statuses(a.Now())
+			for _, st := range all {
+				in := Instance{Status: st, Listen: a.opt.Listen(st.Instance)}
+				if p := a.running[st.Process]; p != nil {
+					in.PID = p.Pid
+				}
+				o.Instances = append(o.Instances, in)
+			}
+		}) != nil {
+			return nil, control.ErrBusy
+		}
+		return o, nil
+	}
+	s.Look("instances", look)
+	steer := func(name string, event func(url.Values) (supervise.Event, error)) {
+		s.Steer(name, func(q url.Values) (any, error) {
+			ev, err := event(q)
+			if err != nil {
+				return nil, err
+			}
+			if !a.Post(ev) {
+				return nil, control.ErrBusy
+			}
+			return look(nil)
+		})
+	}
+	plain := func(ev supervise.Event) func(url.Values) (supervise.Event, error) {
+		return func(url.Values) (supervise.Event, error) { return ev, nil }
+	}
+	steer("halt", plain(supervise.Halt{}))
+	steer("resume", plain(supervise.Resume{}))
+	steer("stop", plain(supervise.Stop{}))
+	steer("replace", func(q url.Values) (supervise.Event, error) {
+		if !q.Has("instance") {
+			return supervise.Roll{}, nil
+		}
+		n, err := strconv.Atoi(q.Get("instance"))
+		if err != nil || n < 0 || n >= a.opt.Core.Instances {
+			return nil, errors.New("instance: there is none of that number")
+		}
+		return supervise.Restart{Instance: n}, nil
+	})
+}
--- /dev/null
+++ b/internal/supervise/core.go
@@ -0,0 +1,462 @@
+// Package supervise keeps the processes of many instances of a program running on one machine, and replaces them one after another
+// without a moment in which one does not serve: a successor is started beside the process it replaces, which is told to end once
+// the successor is ready. The core has no clock, no processes and no I/O: it takes (now, event) and returns effects. See
+// docs/supervise.md.
+package supervise
+
+import (
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Time is a point on the supervisor's clock.
+type Time = time.Duration
+
+// Config says how processes are kept.
+type Config struct {
+	Instances    int
+	AtOnce       int           // instances that are replaced at once
+	ReadyWithin  time.Duration // a process that is not ready by then is killed
+	Watch        time.Duration // a process that ends, or does badly, so soon after it was ready is no good
+	EndWithin    time.Duration // a process that was told to end is killed after that
+	BackoffLeast time.Duration // before another start after a failed one; doubled with each failure in a row, with full jitter
+	BackoffMost  time.Duration
+	MaxFailed    float64 // share of a watched process's answers that may fail, past what fails at the others
+	LeastJudged  int     // answers from which that is judged
+	Seed         uint64
+}
+
+// Validate tells which field makes no sense.
+func (c Config) Validate() error {
+	switch {
+	case c.Instances < 1 || c.Instances > 1000:
+		return errors.New("instances: must be from 1 to 1000")
+	case c.AtOnce < 1 || c.AtOnce > c.Instances:
+		return errors.New("at_once: must be from 1 to the number of instances")
+	case c.ReadyWithin <= 0 || c.EndWithin <= 0 || c.Watch < 0:
+		return errors.New("ready_within, end_within, watch: must be above 0")
+	case c.BackoffLeast <= 0 || c.BackoffMost < c.BackoffLeast:
+		return errors.New("backoff_least, backoff_most: must grow from above 0")
+	case !(c.MaxFailed >= 0 && c.MaxFailed <= 1):
+		return errors.New("max_failed: must be from 0 to 1")
+	}
+	return nil
+}
+
+// Event is what the core is told: one of the types below it.
+type Event interface{ event() }
+
+type (
+	// Tick says that time went on.
+	Tick struct{}
+	// Ready says that a process serves.
+	Ready struct{ Process int }
+	// Served counts answers of a process since the last such event.
+	Served struct{ Process, Answers, Failed int }
+	// Exited says that a process is gone, or could not be started. Clean: it ended by itself, with 0.
+	Exited struct {
+		Process int
+		Clean   bool
+	}
+	// Restart asks for one instance to be replaced, Roll for all in turn.
+	Restart struct{ Instance int }
+	// Roll asks for all instances to be replaced in turn.
+	Roll struct{}
+	// Halt stops replacing; what is under way is finished.
+	Halt struct{}
+	// Resume goes on after a halt.
+	Resume struct{}
+	// Stop ends all.
+	Stop struct{}
+)
+
+func (Tick) event()    {}
+func (Ready) event()   {}
+func (Served) event()  {}
+func (Exited) event()  {}
+func (Restart) event() {}
+func (Roll) event()    {}
+func (Halt) event()    {}
+func (Resume) event()  {}
+func (Stop) event()    {}
+
+// Effect is what the core wants done: one of the types below it.
+type Effect interface{ effect() }
+
+type (
+	// Start starts a process of an instance.
+	Start struct{ Instance, Process int }
+	// Term tells a process to end. Replaced: another one takes what comes new from now on.
+	Term struct {
+		Process  int
+		Replaced bool
+	}
+	// Kill ends a process at once.
+	Kill struct{ Process int }
+	// Done says that all that was stopped is gone.
+	Done struct{}
+	// Note is for the log and the counters.
+	Note struct {
+		Kind              NoteKind
+		Instance, Process int
+		Wait              time.Duration // Waits: before the next start
+	}
+)
+
+func (Start) effect() {}
+func (Term) effect()  {}
+func (Kill) effect()  {}
+func (Done) effect()  {}
+func (Note) effect()  {}
+
+// NoteKind is what happened.
+type NoteKind int
+
+// What is noted.
+const (
+	Started   NoteKind = iota
+	Serves             // it is ready
+	Replaced           // by its successor, and told to end
+	Ended              // as it was told
+	Left               // by itself, with 0: it went out by agreement, and is started again
+	Crashed            // by itself
+	NotReady           // in time: it is killed
+	Overdue            // it did not end in time: it is killed
+	Waits              // before the next start
+	Halted             // a successor was no good, or an operator said so
+	Resumed            // by an operator
+	Rolled             // all that was asked for is replaced
+	BadAnswer          // a watched process fails more than the others
+	Notes
+)
+
+func (k NoteKind) String() string {
+	return [...]string{"started", "serves", "replaced", "ended", "left", "crashed", "not_ready", "overdue", "waits", "halted", "resumed", "rolled", "bad_answers"}[k]
+}
+
+// process is one process, from its start to its end.
+type process struct {
+	id      int
+	started Time
+	ready   bool
+	readyAt Time
+	told    bool // to end
+	toldAt  Time
+	killed  bool
+	answers float64
+	failed  float64
+}
+
+// instance is one place that a process serves at.
+type instance struct {
+	current *process // serves
+	next    *process // starts; a successor where there is a current one
+	old     []*process
+	fails   int // starts in a row that came to nothing
+	startAt Time
+	wanted  bool // a successor is asked for
+	watched bool // the current one replaced another, and is not trusted yet
+	rolling bool // from the successor's start until it is trusted and the process before has gone
+}
+
+// Core decides for all instances. It is not safe for concurrent use.
+type Core struct {
+	cfg      Config
+	rng      *rand.Rand
+	all      []instance
+	lastID   int
+	halted   bool
+	rolls    bool // a roll is under way
+	stopping bool
+	done     bool
+	effects  []Effect
+}
+
+// New makes a core. It starts processes from its first event on.
+func New(cfg Config) (*Core, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	return &Core{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), all: make([]instance, cfg.Instances)}, nil
+}
+
+// Step takes one event and returns its effects, which belong to the caller.
+func (c *Core) Step(now Time, ev Event) []Effect {
+	c.effects = nil
+	switch e := ev.(type) {
+	case Ready:
+		if i, p := c.find(e.Process); p != nil && !p.ready && !p.killed && !p.told {
+			c.ready(now, i, p)
+		}
+	case Served:
+		if i, p := c.find(e.Process); p != nil {
+			c.served(now, i, p, e)
+		}
+	case Exited:
+		if i, p := c.find(e.Process); p != nil {
+			c.exited(now, i, p, e.Clean)
+		}
+	case Restart:
+		if e.Instance >= 0 && e.Instance < len(c.all) && !c.stopping {
+			c.all[e.Instance].wanted, c.rolls = true, true
+		}
+	case Roll:
+		for i := range c.all {
+			c.all[i].wanted = !c.stopping
+		}
+		c.rolls = !c.stopping
+	case Halt:
+		c.halt(-1, 0)
+	case Resume:
+		if c.halted {
+			c.halted = false
+			c.note(Resumed, -1, 0)
+		}
+	case Stop:
+		c.stop(now)
+	}
+	c.look(now)
+	return c.effects
+}
+
+func (c *Core) do(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Core) note(kind NoteKind, instance, process int) {
+	c.do(Note{Kind: kind, Instance: instance, Process: process})
+}
+
+func (c *Core) find(id int) (int, *process) {
+	for i := range c.all {
+		in := &c.all[i]
+		for _, p := range append([]*process{in.current, in.next}, in.old...) {
+			if p != nil && p.id == id {
+				return i, p
+			}
+		}
+	}
+	return 0, nil
+}
+
+// halt stops replacing. What was asked for stays asked for.
+func (c *Core) halt(instance, process int) {
+	if !c.halted && !c.stopping {
+		c.halted = true
+		c.note(Halted, instance, process)
+	}
+}
+
+// term tells a process to end, once.
+func (c *Core) term(now Time, p *process, replaced bool) {
+	if p != nil && !p.told {
+		p.told, p.toldAt = true, now
+		c.do(Term{p.id, replaced})
+	}
+}
+
+func (c *Core) kill(p *process) {
+	if !p.killed {
+		p.killed = true
+		c.do(Kill{p.id})
+	}
+}
+
+func (c *Core) start(now Time, i int) {
+	in := &c.all[i]
+	c.lastID++
+	in.next = &process{id: c.lastID, started: now}
+	c.do(Start{i, c.lastID})
+	c.note(Started, i, c.lastID)
+}
+
+// ready has a process serve in the place of the one before.
+func (c *Core) ready(now Time, i int, p *process) {
+	in := &c.all[i]
+	p.ready, p.readyAt = true, now
+	c.note(Serves, i, p.id)
+	if before := in.current; before != nil {
+		in.old = append(in.old, before)
+		in.watched = true
+		c.term(now, before, true)
+		c.note(Replaced, i, before.id)
+	}
+	in.current, in.next = p, nil
+}
+
+// served judges a process that replaced another, beside the instances that have not been replaced of late.
+func (c *Core) served(now Time, i int, p *process, e Served) {
+	p.answers, p.failed = p.answers+float64(e.Answers), p.failed+float64(e.Failed)
+	in := &c.all[i]
+	if in.current != p || !in.watched || p.answers < float64(max(1, c.cfg.LeastJudged)) {
+		return
+	}
+	var others []float64
+	for j := range c.all {
+		if o := &c.all[j]; j != i && o.current != nil && !o.watched && o.current.answers >= float64(max(1, c.cfg.LeastJudged)) {
+			others = append(others, o.current.failed/o.current.answers)
+		}
+	}
+	usual := 0.0
+	if slices.Sort(others); len(others) > 0 {
+		usual = others[(len(others)-1)/2]
+	}
+	if p.failed/p.answers > usual+c.cfg.MaxFailed {
+		in.watched = false
+		c.note(BadAnswer, i, p.id)
+		c.halt(i, p.id)
+	}
+}
+
+// exited takes the end of a process.
+func (c *Core) exited(now Time, i int, p *process, clean bool) {
+	in := &c.all[i]
+	switch {
+	case p == in.next: // it never served
+		in.next = nil
+		c.failed(now, i, p)
+		if in.current != nil { // the one before serves on
+			in.rolling = false
+			c.halt(i, p.id)
+		}
+	case p == in.current:
+		in.current = nil
+		switch soon := now-p.readyAt < c.cfg.Watch; {
+		case p.told:
+			c.note(Ended, i, p.id)
+		case clean && !soon:
+			in.fails, in.startAt = 0, now
+			c.note(Left, i, p.id)
+		default:
+			if !soon {
+				in.fails = 0
+			}
+			c.failed(now, i, p)
+			if in.watched {
+				c.halt(i, p.id)
+			}
+		}
+		in.watched = false
+	default:
+		in.old = slices.DeleteFunc(in.old, func(o *process) bool { return o == p })
+		c.note(Ended, i, p.id)
+	}
+}
+
+// failed has the next start of an instance wait.
+func (c *Core) failed(now Time, i int, p *process) {
+	in := &c.all[i]
+	if !p.killed {
+		c.note(Crashed, i, p.id)
+	}
+	if c.stopping {
+		return
+	}
+	most := c.cfg.BackoffMost
+	if in.fails < 30 {
+		most = min(most, c.cfg.BackoffLeast<<in.fails)
+	}
+	in.fails++
+	wait := c.cfg.BackoffLeast/2 + time.Duration(c.rng.Int64N(int64(most)))
+	in.startAt = now + wait
+	c.do(Note{Kind: Waits, Instance: i, Wait: wait})
+}
+
+func (c *Core) stop(now Time) {
+	c.stopping, c.rolls = true, false
+	for i := range c.all {
+		in := &c.all[i]
+		in.wanted = false
+		c.term(now, in.current, false)
+		c.term(now, in.next, false)
+	}
+}
+
+// look does what is due.
+func (c *Core) look(now Time) {
+	left := 0
+	for i := range c.all {
+		in := &c.all[i]
+		if p := in.next; p != nil && !p.told && now-p.started >= c.cfg.ReadyWithin && !p.killed {
+			c.note(NotReady, i, p.id)
+			c.kill(p)
+		}
+		for _, p := range append([]*process{in.current, in.next}, in.old...) {
+			if p == nil {
+				continue
+			}
+			left++
+			if p.told && !p.killed && now-p.toldAt >= c.cfg.EndWithin {
+				c.note(Overdue, i, p.id)
+				c.kill(p)
+			}
+		}
+		if p := in.current; p != nil && now-p.readyAt >= c.cfg.Watch {
+			in.watched, in.fails = false, 0
+		}
+		if in.rolling && in.next == nil && !in.watched && len(in.old) == 0 {
+			in.rolling = false
+		}
+	}
+	if c.stopping {
+		if left == 0 && !c.done {
+			c.done = true
+			c.do(Done{})
+		}
+		return
+	}
+	busy := 0
+	for i := range c.all {
+		in := &c.all[i]
+		if in.current == nil && in.next == nil && now >= in.startAt {
+			in.wanted = false // what starts now is what is installed now
+			c.start(now, i)
+		}
+		if in.rolling || in.current == nil { // one that does not serve is out as well
+			busy++
+		}
+	}
+	for i := range c.all {
+		if in := &c.all[i]; in.wanted && in.current != nil && in.next == nil && !in.rolling && !c.halted && busy < c.cfg.AtOnce && now >= in.startAt {
+			in.wanted, in.rolling = false, true
+			busy++
+			c.start(now, i)
+		}
+	}
+	if c.rolls && !slices.ContainsFunc(c.all, func(in instance) bool { return in.wanted || in.rolling }) && !c.halted {
+		c.rolls = false
+		c.note(Rolled, -1, 0)
+	}
+}
+
+// Status is one instance as an operator sees it.
+type Status struct {
+	Instance int           `json:"instance"`
+	Process  int           `json:"process"` // that serves, by the supervisor's count; 0: none
+	State    string        `json:"state"`   // serves, replaced, starts or waits
+	For      time.Duration `json:"for_ns"`  // it has served
+	Wanted   bool          `json:"to_be_replaced"`
+	Failures int           `json:"failed_starts"`
+	Ending   int           `json:"ending"` // processes that were told to end
+}
+
+// Statuses lists all instances, and whether replacing is halted.
+func (c *Core) Statuses(now Time) (all []Status, halted bool) {
+	for i := range c.all {
+		in := &c.all[i]
+		s := Status{Instance: i, State: "waits", Wanted: in.wanted, Failures: in.fails, Ending: len(in.old)}
+		switch {
+		case in.current != nil && in.next != nil:
+			s.State = "replaced"
+		case in.current != nil:
+			s.State = "serves"
+		case in.next != nil:
+			s.State = "starts"
+		}
+		if in.current != nil {
+			s.Process, s.For = in.current.id, now-in.current.readyAt
+		}
+		all = append(all, s)
+	}
+	return all, c.halted
+}
