Give the datagrams of all agreements one outer form

Change: internal/datagram seals and opens them and reads numbers past whose end a body is bad. The bytes on the wire are the same.

--- a/internal/fleet/membership/message.go
+++ b/internal/fleet/membership/message.go
@@ -3,12 +3,12 @@
 import (
 	"encoding/binary"
 	"errors"
-	"hash/crc32"
+
+	"shelfproxy/internal/datagram"
 )
 
-// Every datagram is one byte that tells it from other traffic between nodes, one of version, one of kind, the name of the list of
-// nodes, a number that an answer repeats, the node that is asked about, and news of 9 bytes each, as many as fit; then a sum of all
-// that. Numbers are big-endian.
+// Every datagram holds the name of the list of nodes, a number that an answer repeats, the node that is asked about, and news of 9
+// bytes each, as many as fit. What a later version says behind the news is skipped.
 const (
 	Mark    = 'M'
 	version = 1
@@ -17,11 +17,9 @@
 	kindAck  = 2
 	kindAsk  = 3
 
-	maxBytes = 256
-	fixed    = 3 + 4 + 4 + 2 + 1
+	fixed    = 4 + 4 + 2 + 1
 	newsSize = 2 + 5 + 1 + 1
-	sumBytes = 4
-	mostNews = (maxBytes - fixed - sumBytes) / newsSize
+	mostNews = (datagram.Room - fixed) / newsSize
 
 	// Lives are told as milliseconds since then, in 40 bits.
 	lifeFrom = 1_577_836_800_000 // 2020-01-01
@@ -48,7 +46,7 @@
 
 func (m message) encode() []byte {
 	n := min(len(m.news), mostNews)
-	b := append(make([]byte, 0, fixed+n*newsSize+sumBytes), Mark, version, m.kind)
+	b := datagram.Begin(Mark, version, m.kind)
 	b = binary.BigEndian.AppendUint32(b, m.fleet)
 	b = binary.BigEndian.AppendUint32(b, m.seq)
 	b = binary.BigEndian.AppendUint16(b, m.node)
@@ -60,30 +58,24 @@
 		b = binary.BigEndian.AppendUint32(b, uint32(life))
 		b = append(b, s.word, byte(s.state))
 	}
-	return binary.BigEndian.AppendUint32(b, crc32.ChecksumIEEE(b))
+	return datagram.Seal(b)
 }
 
 func decode(b []byte) (m message, err error) {
-	if len(b) < fixed+sumBytes || len(b) > maxBytes || b[0] != Mark || b[1] != version {
-		return m, errGarbled
-	}
-	body, sum := b[:len(b)-sumBytes], binary.BigEndian.Uint32(b[len(b)-sumBytes:])
-	if crc32.ChecksumIEEE(body) != sum {
+	kind, r, ok := datagram.Open(b, Mark, version)
+	if !ok || kind < kindPing || kind > kindAsk {
 		return m, errGarbled
 	}
-	m = message{kind: body[2], fleet: binary.BigEndian.Uint32(body[3:]), seq: binary.BigEndian.Uint32(body[7:]), node: binary.BigEndian.Uint16(body[11:])}
-	n, rest := int(body[13]), body[fixed:]
-	if m.kind < kindPing || m.kind > kindAsk || len(rest) < n*newsSize {
-		return m, errGarbled
-	}
-	for range n { // what a later version says behind the news is skipped
-		s := news{node: binary.BigEndian.Uint16(rest), life: lifeFrom + uint64(rest[2])<<32 + uint64(binary.BigEndian.Uint32(rest[3:])),
-			word: rest[7], state: State(rest[8])}
-		if s.state == Unknown || s.state >= states {
+	m = message{kind: kind, fleet: r.U32(), seq: r.U32(), node: r.U16()}
+	for range r.U8() {
+		s := news{node: r.U16(), life: lifeFrom + uint64(r.U8())<<32 + uint64(r.U32()), word: r.U8(), state: State(r.U8())}
+		if !r.Good() || s.state == Unknown || s.state >= states {
 			return m, errGarbled
 		}
 		m.news = append(m.news, s)
-		rest = rest[newsSize:]
+	}
+	if !r.Good() {
+		return m, errGarbled
 	}
 	return m, nil
 }
--- a/internal/rollout/message.go
+++ b/internal/rollout/message.go
@@ -3,12 +3,11 @@
 import (
 	"encoding/binary"
 	"errors"
-	"hash/crc32"
+
+	"shelfproxy/internal/datagram"
 )
 
-// Every datagram is one byte that tells it from other traffic between nodes, one of version, one of kind, the body, and a
-// sum of all that: a garbled one must not pass for a grant. Numbers are big-endian. None is longer than the platform's 256
-// bytes.
+// The datagrams of this package; a garbled one must not pass for a grant, which their sums see to.
 const (
 	Mark    = 'R'
 	version = 2
@@ -16,8 +15,6 @@
 	kindBeacon = 1
 	kindAsk    = 2
 	kindAnswer = 3
-
-	maxBytes = 256
 )
 
 // errGarbled is returned for what no node of this version sent.
@@ -85,14 +82,10 @@
 
 // Sizes: 3 + 8+4+1+1+4+4 + 2+1+1+2 + 2+4 + 3 + 1 + 4 of the sum; the table takes what is left. What a later version says
 // behind the table is skipped: the nodes of two releases must understand each other while one takes the other's place.
-const tableRoom = (maxBytes - 45) / entrySize
-
-func open(kind byte) []byte { return append(make([]byte, 0, maxBytes), Mark, version, kind) }
-
-func seal(b []byte) []byte { return binary.BigEndian.AppendUint32(b, crc32.ChecksumIEEE(b)) }
+const tableRoom = (datagram.Max - 45) / entrySize
 
 func (m beacon) encode() []byte {
-	b := open(kindBeacon)
+	b := datagram.Begin(Mark, version, kindBeacon)
 	b = binary.BigEndian.AppendUint64(b, m.Start)
 	b = binary.BigEndian.AppendUint32(b, m.Count)
 	b = append(b, byte(m.State), bit(m.Learns))
@@ -113,22 +106,22 @@
 		b = append(b, e.Slot, e.Zone)
 		b = binary.BigEndian.AppendUint16(b, e.Name)
 	}
-	return seal(b)
+	return datagram.Seal(b)
 }
 
 func (m ask) encode() []byte {
-	b := open(kindAsk)
+	b := datagram.Begin(Mark, version, kindAsk)
 	b = binary.BigEndian.AppendUint64(b, m.Start)
 	b = binary.BigEndian.AppendUint32(b, m.Ask)
 	b = append(b, m.Slot, m.Zone)
-	return seal(binary.BigEndian.AppendUint16(b, m.Name))
+	return datagram.Seal(binary.BigEndian.AppendUint16(b, m.Name))
 }
 
 func (m answer) encode() []byte {
-	b := open(kindAnswer)
+	b := datagram.Begin(Mark, version, kindAnswer)
 	b = binary.BigEndian.AppendUint64(b, m.Start)
 	b = binary.BigEndian.AppendUint32(b, m.Ask)
-	return seal(append(b, byte(m.Reason)))
+	return datagram.Seal(append(b, byte(m.Reason)))
 }
 
 func bit(b bool) byte {
@@ -138,60 +131,35 @@
 	return 0
 }
 
-// reader takes numbers off a body; past its end they are 0 and it is bad.
-type reader struct {
-	b   []byte
-	bad bool
-}
-
-func (r *reader) take(n int) []byte {
-	if len(r.b) < n {
-		r.bad = true
-		return make([]byte, n)
-	}
-	v := r.b[:n]
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *reader) u8() byte    { return r.take(1)[0] }
-func (r *reader) u16() uint16 { return binary.BigEndian.Uint16(r.take(2)) }
-func (r *reader) u32() uint32 { return binary.BigEndian.Uint32(r.take(4)) }
-func (r *reader) u64() uint64 { return binary.BigEndian.Uint64(r.take(8)) }
-
 // decode reads a datagram: a beacon, an ask or an answer.
 func decode(data []byte) (any, error) {
-	if len(data) < 7 || len(data) > maxBytes || data[0] != Mark || data[1] != version {
-		return nil, errGarbled
-	}
-	body, sum := data[:len(data)-4], binary.BigEndian.Uint32(data[len(data)-4:])
-	if crc32.ChecksumIEEE(body) != sum {
+	kind, r, ok := datagram.Open(data, Mark, version)
+	if !ok {
 		return nil, errGarbled
 	}
-	r := &reader{b: body[3:]}
 	var m any
-	switch body[2] {
+	bad, later := false, false // later: what a later version says behind is skipped
+	switch kind {
 	case kindBeacon:
-		v := beacon{Start: r.u64(), Count: r.u32(), State: State(r.u8()), Learns: r.u8() == 1, Done: r.u32(), Release: r.u32(),
-			Halt:   halt{Epoch: r.u16(), On: r.u8() == 1, Reason: Reason(r.u8()), By: r.u16()},
-			Order:  order{Epoch: r.u16(), Release: r.u32()},
-			Health: health{Known: r.u8() == 1, Failed: r.u8(), Slow: r.u8()}}
-		for range r.u8() {
-			v.Table = append(v.Table, entry{Holder: r.u16(), Start: r.u64(), Ask: r.u32(), Slot: r.u8(), Zone: r.u8(), Name: r.u16()})
+		v := beacon{Start: r.U64(), Count: r.U32(), State: State(r.U8()), Learns: r.U8() == 1, Done: r.U32(), Release: r.U32(),
+			Halt:   halt{Epoch: r.U16(), On: r.U8() == 1, Reason: Reason(r.U8()), By: r.U16()},
+			Order:  order{Epoch: r.U16(), Release: r.U32()},
+			Health: health{Known: r.U8() == 1, Failed: r.U8(), Slow: r.U8()}}
+		for range r.U8() {
+			v.Table = append(v.Table, entry{Holder: r.U16(), Start: r.U64(), Ask: r.U32(), Slot: r.U8(), Zone: r.U8(), Name: r.U16()})
 		}
-		r.bad = r.bad || v.State >= states || v.Halt.Reason >= reasons
-		r.b = nil // of a later version
+		bad, later = v.State >= states || v.Halt.Reason >= reasons, true
 		m = v
 	case kindAsk:
-		m = ask{Start: r.u64(), Ask: r.u32(), Slot: r.u8(), Zone: r.u8(), Name: r.u16()}
+		m = ask{Start: r.U64(), Ask: r.U32(), Slot: r.U8(), Zone: r.U8(), Name: r.U16()}
 	case kindAnswer:
-		v := answer{Start: r.u64(), Ask: r.u32(), Reason: Reason(r.u8())}
-		r.bad = r.bad || v.Reason >= reasons
+		v := answer{Start: r.U64(), Ask: r.U32(), Reason: Reason(r.U8())}
+		bad = v.Reason >= reasons
 		m = v
 	default:
 		return nil, errGarbled
 	}
-	if r.bad || len(r.b) > 0 {
+	if bad || !r.Good() || !later && !r.Over() {
 		return nil, errGarbled
 	}
 	return m, nil
