Replace a supervised node that hangs without ending

Need: a node that is stopped, or stuck, was found only when somebody asked for it to be replaced (docs/supervise.md, open).

Change: a process that said how it goes and says nothing for `silent` (10 s; it speaks four times a second) hangs: its successor is started at once, whatever is halted and however many are replaced, and it is told to end once that one is ready, and killed when overdue.

--- a/cmd/shelfproxy/fleet.go
+++ b/cmd/shelfproxy/fleet.go
@@ -29,6 +29,7 @@
 		ReadyWithin  tomlfile.Duration `toml:"ready_within"`  // a process that is not ready by then is killed
 		Watch        tomlfile.Duration `toml:"watch"`         // one that ends or does badly so soon is no good
 		EndWithin    tomlfile.Duration `toml:"end_within"`    // one that was told to end is killed after that
+		Silent       tomlfile.Duration `toml:"silent"`        // one that says nothing for so long hangs, and is replaced; 0: nobody looks
 		BackoffLeast tomlfile.Duration `toml:"backoff_least"` // before a start after a failed one, doubled each time
 		BackoffMost  tomlfile.Duration `toml:"backoff_most"`
 		MaxFailed    float64           `toml:"max_failed"`   // share of a watched process's answers that may fail, past the others'
@@ -48,7 +49,7 @@
 // core is what the supervisor's core is told.
 func (f *fleetFile) core(seed uint64) supervise.Config {
 	c := f.Fleet
-	return supervise.Config{Instances: c.Instances, AtOnce: c.AtOnce, ReadyWithin: c.ReadyWithin.D(), Watch: c.Watch.D(), EndWithin: c.EndWithin.D(),
+	return supervise.Config{Instances: c.Instances, AtOnce: c.AtOnce, ReadyWithin: c.ReadyWithin.D(), Watch: c.Watch.D(), EndWithin: c.EndWithin.D(), Silent: c.Silent.D(),
 		BackoffLeast: c.BackoffLeast.D(), BackoffMost: c.BackoffMost.D(), MaxFailed: c.MaxFailed, LeastJudged: c.LeastJudged, Seed: seed}
 }
 
@@ -68,6 +69,7 @@
 	f := &fleetFile{}
 	f.Fleet.Instances, f.Fleet.AtOnce, f.Fleet.ReadyWithin, f.Fleet.Watch = 1, 1, tomlfile.Duration(10*time.Second), tomlfile.Duration(10*time.Second)
 	f.Fleet.EndWithin, f.Fleet.BackoffLeast, f.Fleet.BackoffMost = tomlfile.Duration(6*time.Second), tomlfile.Duration(200*time.Millisecond), tomlfile.Duration(30*time.Second)
+	f.Fleet.Silent = tomlfile.Duration(10 * time.Second)
 	f.Fleet.MaxFailed, f.Fleet.LeastJudged, f.Fleet.Log = 0.2, 50, "auto"
 	file, err := tomlfile.Read(path, f)
 	if err != nil {
--- a/internal/supervise/agent/agent.go
+++ b/internal/supervise/agent/agent.go
@@ -103,7 +103,7 @@
 	case supervise.Note:
 		level := slog.LevelInfo
 		switch e.Kind {
-		case supervise.Crashed, supervise.NotReady, supervise.Overdue, supervise.Halted, supervise.BadAnswer:
+		case supervise.Crashed, supervise.NotReady, supervise.Overdue, supervise.Halted, supervise.BadAnswer, supervise.Hangs:
 			level = slog.LevelWarn
 		}
 		attrs := []slog.Attr{slog.String(logs.Event, "instance_"+e.Kind.String())}
--- a/internal/supervise/core.go
+++ b/internal/supervise/core.go
@@ -21,6 +21,7 @@
 	ReadyWithin  time.Duration // a process that is not ready by then is killed
 	Watch        time.Duration // a process that ends, or does badly, so soon after it was ready is no good
 	EndWithin    time.Duration // a process that was told to end is killed after that
+	Silent       time.Duration // a process that says how it goes and then nothing for so long hangs; 0: nobody looks
 	BackoffLeast time.Duration // before another start after a failed one; doubled with each failure in a row, with full jitter
 	BackoffMost  time.Duration
 	MaxFailed    float64 // share of a watched process's answers that may fail, past what fails at the others
@@ -37,6 +38,8 @@
 		return errors.New("at_once: must be from 1 to the number of instances")
 	case c.ReadyWithin <= 0 || c.EndWithin <= 0 || c.Watch < 0:
 		return errors.New("ready_within, end_within, watch: must be above 0")
+	case c.Silent != 0 && c.Silent < time.Second:
+		return errors.New("silent: must be 1s at least, or 0")
 	case c.BackoffLeast <= 0 || c.BackoffMost < c.BackoffLeast:
 		return errors.New("backoff_least, backoff_most: must grow from above 0")
 	case !(c.MaxFailed >= 0 && c.MaxFailed <= 1):
@@ -129,11 +132,12 @@
 	Resumed            // by an operator
 	Rolled             // all that was asked for is replaced
 	BadAnswer          // a watched process fails more than the others
+	Hangs              // it says nothing any more: it is replaced at once
 	Notes
 )
 
 func (k NoteKind) String() string {
-	return [...]string{"started", "serves", "replaced", "ended", "left", "crashed", "not_ready", "overdue", "waits", "halted", "resumed", "rolled", "bad_answers"}[k]
+	return [...]string{"started", "serves", "replaced", "ended", "left", "crashed", "not_ready", "overdue", "waits", "halted", "resumed", "rolled", "bad_answers", "hangs"}[k]
 }
 
 // process is one process, from its start to its end.
@@ -147,6 +151,8 @@
 	killed  bool
 	answers float64
 	failed  float64
+	heard   Time // it last said how it goes; 0: never
+	hangs   bool
 }
 
 // instance is one place that a process serves at.
@@ -286,7 +292,7 @@
 
 // served judges a process that replaced another, beside the instances that have not been replaced of late.
 func (c *Core) served(now Time, i int, p *process, e Served) {
-	p.answers, p.failed = p.answers+float64(e.Answers), p.failed+float64(e.Failed)
+	p.answers, p.failed, p.heard = p.answers+float64(e.Answers), p.failed+float64(e.Failed), max(now, 1)
 	in := &c.all[i]
 	if in.current != p || !in.watched || p.answers < float64(max(1, c.cfg.LeastJudged)) {
 		return
@@ -315,7 +321,7 @@
 	case p == in.next: // it never served
 		in.next = nil
 		c.failed(now, i, p)
-		if in.current != nil { // the one before serves on
+		if in.rolling { // the one before serves on
 			in.rolling = false
 			c.halt(i, p.id)
 		}
@@ -394,6 +400,10 @@
 		if p := in.current; p != nil && now-p.readyAt >= c.cfg.Watch {
 			in.watched, in.fails = false, 0
 		}
+		if p := in.current; p != nil && !p.hangs && p.heard > 0 && c.cfg.Silent > 0 && now-p.heard >= c.cfg.Silent {
+			p.hangs = true
+			c.note(Hangs, i, p.id)
+		}
 		if in.rolling && in.next == nil && !in.watched && len(in.old) == 0 {
 			in.rolling = false
 		}
@@ -408,16 +418,17 @@
 	busy := 0
 	for i := range c.all {
 		in := &c.all[i]
-		if in.current == nil && in.next == nil && now >= in.startAt {
+		lame := in.current == nil || in.current.hangs
+		if lame && in.next == nil && now >= in.startAt {
 			in.wanted = false // what starts now is what is installed now
 			c.start(now, i)
 		}
-		if in.rolling || in.current == nil { // one that does not serve is out as well
+		if in.rolling || lame { // one that does not serve is out as well
 			busy++
 		}
 	}
 	for i := range c.all {
-		if in := &c.all[i]; in.wanted && in.current != nil && in.next == nil && !in.rolling && !c.halted && busy < c.cfg.AtOnce && now >= in.startAt {
+		if in := &c.all[i]; in.wanted && in.current != nil && !in.current.hangs && in.next == nil && !in.rolling && !c.halted && busy < c.cfg.AtOnce && now >= in.startAt {
 			in.wanted, in.rolling = false, true
 			busy++
 			c.start(now, i)
@@ -433,7 +444,7 @@
 type Status struct {
 	Instance int           `json:"instance"`
 	Process  int           `json:"process"` // that serves, by the supervisor's count; 0: none
-	State    string        `json:"state"`   // serves, replaced, starts or waits
+	State    string        `json:"state"`   // serves, replaced, hangs, starts or waits
 	For      time.Duration `json:"for_ns"`  // it has served
 	Wanted   bool          `json:"to_be_replaced"`
 	Failures int           `json:"failed_starts"`
@@ -446,6 +457,8 @@
 		in := &c.all[i]
 		s := Status{Instance: i, State: "waits", Wanted: in.wanted, Failures: in.fails, Ending: len(in.old)}
 		switch {
+		case in.current != nil && in.current.hangs:
+			s.State = "hangs"
 		case in.current != nil && in.next != nil:
 			s.State = "replaced"
 		case in.current != nil:
