Run duties and membership beside requests in the simulation, and explain keys

Router.Explain and `shelfproxy ctl explain KEY` name the servers in the order in which the key would go to them, and the reasons against the others; it changes nothing. The growth of a pool goes by the monotonic clock: a date set back made its decay grow.

--- a/cmd/shelfproxy/ctl.go
+++ b/cmd/shelfproxy/ctl.go
@@ -46,6 +46,8 @@
 	verb("status", "Say who is out, and why nothing goes on where it does not", http.MethodGet, "/status", cobra.NoArgs, none)
 	verb("duties", "Say who does what for all, since when and under which token", http.MethodGet, "/duties", cobra.NoArgs, none)
 	verb("members", "Say which nodes of the fleet are there, and since when", http.MethodGet, "/members", cobra.NoArgs, none)
+	verb("explain KEY", "Say where a key goes at this moment, and why not elsewhere", http.MethodGet, "/explain", cobra.ExactArgs(1),
+		func(words []string) url.Values { return url.Values{"key": words} })
 	verb("drain", "Have this node go out when the fleet lets it", http.MethodPost, "/drain", cobra.NoArgs, none)
 	verb("halt", "Let no further node go out", http.MethodPost, "/halt", cobra.NoArgs, none)
 	verb("resume", "Let nodes go out again after a halt", http.MethodPost, "/resume", cobra.NoArgs, none)
--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"net/url"
 	"os"
 	"os/signal"
 	"runtime"
@@ -404,6 +405,13 @@
 // as operators have signals too.
 func (d *daemon) serveControl(addr string, stop <-chan struct{}) {
 	s := control.New(addr)
+	s.Look("explain", func(q url.Values) (any, error) {
+		why, ok := d.node.Explain(q.Get("key"))
+		if !ok {
+			return nil, control.ErrBusy
+		}
+		return why, nil
+	})
 	if d.agent != nil {
 		d.agent.Register(s)
 	}
--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -270,7 +270,7 @@
 			return 0, true
 		}
 	}
-	if c := p.young(now, f); c != nil && !p.growth.want(time.Duration(now.UnixNano())) {
+	if c := p.young(now, f); c != nil && !p.growth.want(now) {
 		p.push(c, f, fx)
 		return 0, true
 	}
--- a/internal/forward/growth.go
+++ b/internal/forward/growth.go
@@ -10,7 +10,7 @@
 // are wanted once: so the number of connections follows use, and one more has to be wanted several times first.
 type growth struct {
 	wanted float64
-	at     time.Duration
+	at     time.Time
 }
 
 const (
@@ -19,8 +19,8 @@
 )
 
 // want counts that a connection would have been of use and tells whether to open it.
-func (g *growth) want(now time.Duration) bool {
-	g.wanted = 1 + g.wanted*math.Exp(-float64(now-g.at)/float64(fades))
+func (g *growth) want(now time.Time) bool {
+	g.wanted = 1 + g.wanted*math.Exp(-float64(now.Sub(g.at))/float64(fades))
 	g.at = now
 	if g.wanted < pays-0.5 { // three within a few seconds are not quite three
 		return false
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -8,9 +8,11 @@
 	"shelfproxy/brain"
 	"shelfproxy/internal/counters"
 	"shelfproxy/internal/discovery"
+	"shelfproxy/internal/fleet/membership"
 	"shelfproxy/internal/flow"
 	"shelfproxy/internal/forward"
 	"shelfproxy/internal/lab/wording"
+	"shelfproxy/internal/lease"
 	"shelfproxy/internal/listener"
 	nodecore "shelfproxy/internal/node"
 	"shelfproxy/internal/origin"
@@ -38,6 +40,7 @@
 	listAt Time // when the last news of the list is taken
 	heard  Time // when discovery last said something
 	count  *counters.Counters
+	agree  *agreements // nil where each node does for itself
 }
 
 // frontConn is a client's connection at the node.
@@ -109,7 +112,7 @@
 	life := n.life
 	n.core, err = nodecore.NewCore(nodecore.Options{Module: module, Seed: p.Seed*1000 + uint64(n.index*100+n.life), MaxOpen: p.Nodes.MaxOpen,
 		MaxHeld: p.Nodes.MemoryMB << 20 / 4, MaxWait: p.longestWait(), Known: known, Source: source{n, n.life}, Count: n.count,
-		Log: slog.New(slog.DiscardHandler), Tell: n.tell,
+		Log: slog.New(slog.DiscardHandler), Tell: n.tell, Spread: n.spread,
 		Upstream: func(s discovery.Server, isOrigin bool, report func(*forward.Forward, forward.Answer)) nodecore.Upstream {
 			u := &pool{n: n, life: life, id: s.ID, report: report, wrote: map[*forward.Forward]*serverConn{}}
 			if isOrigin {
@@ -135,6 +138,16 @@
 	n.core.Begin()
 	n.arm()
 	n.sweep()
+	if n.agree = nil; p.Agree {
+		n.agree = newAgreements(n)
+	}
+}
+
+// spread tells all others what the holder of a duty has to say.
+func (n *node) spread(duty brain.Duty) {
+	if n.agree != nil {
+		n.agree.duty(lease.Say{Duty: brain.DutyNames[duty]})
+	}
 }
 
 // arm books the next look at the core.
@@ -183,31 +196,44 @@
 
 // tell sends a datagram to all other nodes.
 func (n *node) tell(data []byte) error {
-	w := n.w
-	for _, o := range w.nodes {
-		if o == n || w.chance(w.plan.Net.Lost) {
-			continue
-		}
-		text := append([]byte(nil), data...)
-		if w.chance(w.plan.Net.Garbled) {
-			text[w.rng.IntN(len(text))] ^= 1 << w.rng.IntN(8)
-		}
-		times := 1
-		if w.chance(w.plan.Net.Twice) {
-			times = 2
-		}
-		for range times {
-			w.after(w.between(time.Millisecond, 30*time.Millisecond), func() {
-				if o.up {
-					o.core.Tell(brain.Heard{From: n.index, Data: text})
-					o.arm()
-				}
-			})
+	for i := range n.w.nodes {
+		if i != n.index {
+			n.datagram(i, data)
 		}
 	}
 	return nil
 }
 
+// datagram sends a datagram to a node, where it comes once, twice, garbled or not at all.
+func (n *node) datagram(to int, data []byte) {
+	w, o := n.w, n.w.nodes[to]
+	if w.chance(w.plan.Net.Lost) {
+		return
+	}
+	text := append([]byte(nil), data...)
+	if w.chance(w.plan.Net.Garbled) {
+		text[w.rng.IntN(len(text))] ^= 1 << w.rng.IntN(8)
+	}
+	times := 1
+	if w.chance(w.plan.Net.Twice) {
+		times = 2
+	}
+	for range times {
+		w.after(w.between(time.Millisecond, 30*time.Millisecond), func() {
+			switch {
+			case !o.up:
+			case o.agree != nil && text[0] == lease.Mark:
+				o.agree.duty(lease.Heard{From: n.index, Data: text})
+			case o.agree != nil && text[0] == membership.Mark:
+				o.agree.member(membership.Heard{From: n.index, Data: text})
+			default:
+				o.core.Tell(brain.Heard{From: n.index, Data: text})
+				o.arm()
+			}
+		})
+	}
+}
+
 // accept takes a client's connection; nil where nobody listens.
 func (n *node) accept() *end {
 	if !n.up || !n.takes {
@@ -365,6 +391,9 @@
 			return
 		}
 		n.w.report.Restarts++
+		if n.agree != nil {
+			n.agree.leave()
+		}
 		n.later(grace, func() {
 			n.takes = false
 			var fx listener.Effects
--- a/internal/lab/sim/plan.go
+++ b/internal/lab/sim/plan.go
@@ -46,6 +46,7 @@
 	Rude       []Time // when a client comes that makes no sense
 	Probes     bool
 	Tight      bool // boxes have next to nothing to spare
+	Agree      bool // duties and membership run beside the requests
 	Well       Time // from when on all is served again
 	End        Time
 	words      []string
@@ -203,6 +204,7 @@
 			p.Rude = append(p.Rude, at().Least)
 		}
 	}},
+	{"agreements", 0.4, func(_ *rand.Rand, _ *scenario.Scenario, p *Plan, _ func() scenario.Span) { p.Agree = true }},
 	{"no-probes", 0.3, func(_ *rand.Rand, _ *scenario.Scenario, p *Plan, _ func() scenario.Span) { p.Probes = false }},
 	{"long-values", 0.15, func(r *rand.Rand, s *scenario.Scenario, _ *Plan, _ func() scenario.Span) {
 		s.Origin.ValueBytes = 40_000 + r.IntN(260_000)
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -169,6 +169,9 @@
 			w.check.Tick(w.now)
 		}
 		w.takeBroken()
+		if w.plan.Agree {
+			w.checkDuties()
+		}
 		if len(w.report.Broken) > 20 || steps > most {
 			w.broken(Crash, "too much is broken, or too much happens: %d steps", steps)
 			return
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -118,6 +118,9 @@
 	n.settle()
 }
 
+// Explain tells what the module makes of a key. It changes nothing.
+func (n *Core) Explain(key string) brain.Why { return n.router.Explain(n.moduleTime(n.own.Now()), key) }
+
 // Idle is closed when a core that drains owes nothing any more.
 func (n *Core) Idle() <-chan struct{} { return n.idle }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,6 +90,22 @@
 // Fleet tells the module how many nodes share the traffic from now on, this one among them; 0: as many as are configured.
 func (n *Node) Fleet(nodes int) { n.offer(func() { n.core.Tell(brain.Fleet{Routers: nodes}) }) }
 
+// Explain tells what the module makes of a key; false while the loop is behind or has ended.
+func (n *Node) Explain(key string) (why brain.Why, ok bool) {
+	got := make(chan brain.Why, 1)
+	select {
+	case n.queue <- func() { got <- n.core.Explain(key) }:
+	default:
+		return why, false
+	}
+	select {
+	case why = <-got:
+		return why, true
+	case <-n.stopped:
+		return why, false
+	}
+}
+
 // Duty tells the module of a duty: who has it, or what its holder told all. What is lost comes again with the next news.
 func (n *Node) Duty(ev brain.Event) { n.offer(func() { n.core.Tell(ev) }) }
 
--- a/tests/members_test.go
+++ b/tests/members_test.go
@@ -51,6 +51,9 @@
 	}
 	all("at the start")
 	f.until("the work is shared by five", func() bool { return strings.Contains(f.nodes[0].log.String(), `"event":"member_count","nodes":5`) })
+	if why := f.ctl(0, "explain", "some-key"); !strings.Contains(why, `"key":"some-key"`) || !strings.Contains(why, `"server":"s0","zone":"a","warmth":1,"keeps":1`) {
+		t.Errorf("where a key goes: %s", why)
+	}
 	first := f.known("node 2 is there", 2, -1, there...)
 
 	f.setDown(2, true)
