Take a reset for no end of an answer without a length

Cause: internal/forward/pool.go, read, told Core.Ended of every error of a read alike, and Core.Ended decoded what had come as ended; so half of an answer without a length was served. The split into cores lost what the readers on sockets had told apart. Change: Ended says whether the server ended the connection in order (io.EOF); else nothing more is decoded.

--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -542,9 +542,12 @@
 	p.decode(now, c, false, fx)
 }
 
-// Ended says that a connection has ended, and not by the core.
-func (p *Core) Ended(now time.Time, c *Conn, fx *Effects) {
-	p.decode(now, c, true, fx)
+// Ended says that a connection has ended, and not by the core. whole: the server ended it in order, which is the end of an answer
+// without a length too; a reset, or whatever else broke it, is the end of none.
+func (p *Core) Ended(now time.Time, c *Conn, whole bool, fx *Effects) {
+	if whole {
+		p.decode(now, c, true, fx)
+	}
 	p.close(now, c, Broken, fx)
 }
 
--- a/internal/forward/core_test.go
+++ b/internal/forward/core_test.go
@@ -186,7 +186,7 @@
 			"ended": func(t *rapid.T) {
 				if len(conns) > 0 {
 					var fx Effects
-					p.Ended(now, conns[pick(len(conns))], &fx)
+					p.Ended(now, conns[pick(len(conns))], rapid.Bool().Draw(t, "in order"), &fx)
 					carry(fx)
 				}
 			},
@@ -254,7 +254,7 @@
 			check(f, Drained)
 		}
 		for _, c := range conns {
-			p.Ended(now, c, &fx)
+			p.Ended(now, c, rapid.Bool().Draw(t, "in order"), &fx)
 		}
 		carry(fx)
 		for i, f := range all {
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -211,7 +212,7 @@
 			p.core.Received(now, c, n, &fx)
 		}
 		if err != nil {
-			p.core.Ended(now, c, &fx)
+			p.core.Ended(now, c, errors.Is(err, io.EOF), &fx)
 		}
 		if over = c.closed; !over {
 			space = c.Decoder.Space()
--- a/internal/lab/sim/pool.go
+++ b/internal/lab/sim/pool.go
@@ -28,6 +28,7 @@
 	server  *serverConn
 	inbox   []byte // came, and not read yet
 	eof     bool
+	reset   bool // and not in order
 	reading bool
 	writing bool
 }
@@ -148,8 +149,8 @@
 				s.inbox = append(s.inbox, b...)
 				s.wake()
 			}
-			s.end.ended = func(bool) {
-				s.eof = true
+			s.end.ended = func(reset bool) {
+				s.eof, s.reset = true, reset
 				s.wake()
 			}
 			c.Socket = s
@@ -178,7 +179,7 @@
 		p.core.Received(p.now(), s.conn, k, &fx)
 	}
 	if s.eof && !s.conn.Closed() {
-		p.core.Ended(p.now(), s.conn, &fx)
+		p.core.Ended(p.now(), s.conn, !s.reset, &fx)
 	}
 	p.carry(fx)
 }
