Tell the origin the time that is left, not the time that the client gave

A further attempt is nearly always the fetch after a miss, and origin.Codec.Append wrote X-Extras as it had arrived (req.Header["X-Extras"] = q.Extras): the time that the cache server took stayed in d.

Change: flow.ExtrasWithin puts the time that is left into d, for cache servers (as before) and for the origin.

Ruled out: cache servers' attempts, which were told what is left already.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -2,7 +2,11 @@
 // listener speaks.
 package flow
 
-import "time"
+import (
+	"bytes"
+	"strconv"
+	"time"
+)
 
 // Flow is one request that was taken from a client. Its byte slices point into the buffer that the command
 // was read into, which nothing writes to again.
@@ -21,6 +25,26 @@
 	Reply func(Response)
 }
 
+var comma, wait = []byte{','}, []byte("d=")
+
+// ExtrasWithin is the list of names and values with the time that is left, in whole milliseconds and at least one, in place of
+// the d that the client gave.
+func (f *Flow) ExtrasWithin(left time.Duration) []byte {
+	out := make([]byte, 0, len(f.Extras)+8)
+	for rest := f.Extras; ; {
+		pair, more, found := bytes.Cut(rest, comma)
+		if bytes.HasPrefix(pair, wait) {
+			out = strconv.AppendInt(append(out, wait...), max(1, left.Milliseconds()), 10)
+		} else {
+			out = append(out, pair...)
+		}
+		if !found {
+			return out
+		}
+		out, rest = append(out, ','), more
+	}
+}
+
 // Kind says what a final answer is.
 type Kind int
 
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -25,14 +25,15 @@
 	Room *forward.Room
 }
 
-// Append appends the HTTP request of a forward.
-func (c Codec) Append(b []byte, f *forward.Forward, _ time.Time) []byte {
+// Append appends the HTTP request of a forward, with the time that is left as d: the origin is asked after a cache server, and
+// what that took is gone from the time that the client gave.
+func (c Codec) Append(b []byte, f *forward.Forward, now time.Time) []byte {
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/alive"}, Host: c.Host,
 		Header: http.Header{"User-Agent": {""}}}
 	if q := f.Flow; q != nil {
 		req.URL.Path = "/" + string(q.Key)
 		req.Header["X-Request-Id"] = []string{string(q.ID)}
-		req.Header["X-Extras"] = []string{string(q.Extras)}
+		req.Header["X-Extras"] = []string{string(q.ExtrasWithin(f.Deadline.Sub(now)))}
 		if q.Write {
 			req.Method = http.MethodPut
 			req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(q.Value)), int64(len(q.Value))
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -3,7 +3,6 @@
 
 import (
 	"bytes"
-	"strconv"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -29,32 +28,13 @@
 	}
 	b = redcon.AppendBulk(b, q.Key)
 	b = redcon.AppendBulk(b, q.ID)
-	b = redcon.AppendBulk(b, waitLeft(q.Extras, max(1, f.Deadline.Sub(now).Milliseconds())))
+	b = redcon.AppendBulk(b, q.ExtrasWithin(f.Deadline.Sub(now)))
 	if q.Write {
 		b = redcon.AppendBulk(b, q.Value)
 	}
 	return b
 }
 
-// waitLeft is the list of names and values with another d.
-func waitLeft(extras []byte, ms int64) []byte {
-	out := make([]byte, 0, len(extras)+8)
-	for rest := extras; ; {
-		pair, more, found := bytes.Cut(rest, comma)
-		if bytes.HasPrefix(pair, wait) {
-			out = strconv.AppendInt(append(out, wait...), ms, 10)
-		} else {
-			out = append(out, pair...)
-		}
-		if !found {
-			return out
-		}
-		out, rest = append(out, ','), more
-	}
-}
-
-var comma, wait = []byte{','}, []byte("d=")
-
 // NewDecoder returns a decoder of the answers on a connection.
 func (c Codec) NewDecoder() forward.Decoder { return &decoder{room: c.Room} }
 
