Write nothing to a server for a client that has gone

Change: Core.gone takes back the forwards of which nothing is written (Upstream.Withdraw); they end as not_sent, so that whoever waits for the fetch goes on. A flow knows that its client has gone (Flow.Cancel, Cancelled), from any goroutine: node.send and forward.Core.Pull look again, the latter as it hands the bytes out. What may have run goes on as before.

Tests: TestGoneWhileItWaits and TestFetchOfAClientThatLeft on the node's core, TestGoneBeforeItIsWritten on a pool's, TestCoreInAnyOrder with clients that leave. Each failed with its line taken out.

Ruled out: a reader that sees the close late (it took 1 ms), the module's line, flights and back-offs, which drop such requests already.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,11 +21,19 @@
 	Taken   time.Time
 	Wait    time.Duration // how long the client waits, from when it sent the request
 	Conn    uint64        // the connection it came on, for taking turns; the listener's own number
-	Left    bool          // its client left before the node took it; the node's own
 	// Reply takes the final answer. The node calls it once and never waits in it.
 	Reply func(Response)
+
+	cancelled atomic.Bool
 }
 
+// Cancel says that the client has gone: nothing more may be begun for the flow. It may be called from any goroutine, by
+// whoever sees it first, ahead of the Gone that a sink is told.
+func (f *Flow) Cancel() { f.cancelled.Store(true) }
+
+// Cancelled tells whether the client has gone. It may be called from any goroutine.
+func (f *Flow) Cancelled() bool { return f.cancelled.Load() }
+
 var comma, wait = []byte{','}, []byte("d=")
 
 // ExtrasWithin is the list of names and values with the time that is left, in whole milliseconds and at least one, in place of
--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -356,10 +356,16 @@
 // which tells the server, unless others wait for answers on it: those must not be killed.
 func (p *Core) Abandon(now time.Time, f *Forward, fx *Effects) (written bool) {
 	f.given = true
+	p.unqueue(now, f, fx)
+	return f.written
+}
+
+// unqueue takes a forward out of whatever it waits in, if nothing of it is written.
+func (p *Core) unqueue(now time.Time, f *Forward, fx *Effects) {
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *Forward) bool { return w == f })
 	c := f.conn
 	if c == nil {
-		return f.written
+		return
 	}
 	if i := slices.Index(c.queue, f); i >= 0 { // not one byte of it was written, and none will be
 		c.queue = slices.Delete(c.queue, i, i+1)
@@ -368,7 +374,15 @@
 	}
 	p.wasted(now, c, fx)
 	p.next(now, c, fx)
-	return f.written
+}
+
+// Withdraw gives up a forward of which nothing was written, and tells whether it did.
+func (p *Core) Withdraw(now time.Time, f *Forward, fx *Effects) bool {
+	if f.started || f.given {
+		return false
+	}
+	p.Abandon(now, f, fx)
+	return true
 }
 
 // wasted closes a connection on which only answers are awaited that nobody wants any more.
@@ -493,9 +507,10 @@
 }
 
 // Pull is the next forward to write to a connection, of which the shell writes the bytes and then says Wrote; nil where
-// there is none. From here on it may have run. The list is looked at for the last time here, and stale says that a
-// connection on which nothing is awaited has bytes to read or has ended: an answer to a request written now could not be
-// told from such bytes, and a request written to a closed connection is lost.
+// there is none. From here on it may have run. The list is looked at for the last time here, and whether the client is still
+// there: one that nobody waits for ends as NotSent. stale says that a connection on which nothing is awaited has bytes to read or
+// has ended: an answer to a request written now could not be told from such bytes, and a request written to a closed connection
+// is lost.
 func (p *Core) Pull(now time.Time, c *Conn, stale bool, fx *Effects) *Forward {
 	if c.closed || c.writing != nil || len(c.queue) == 0 {
 		return nil
@@ -505,6 +520,14 @@
 		return nil
 	}
 	f := c.queue[0]
+	for f.Flow != nil && f.Flow.Cancelled() { // the node has not heard of it yet, or it would have been withdrawn
+		p.unqueue(now, f, fx)
+		fx.report(f, Answer{End: NotSent})
+		if c.closed || len(c.queue) == 0 {
+			return nil
+		}
+		f = c.queue[0]
+	}
 	c.queue[0] = nil
 	c.queue = c.queue[1:]
 	f.started, f.written = true, true
--- a/internal/forward/core_test.go
+++ b/internal/forward/core_test.go
@@ -149,8 +149,8 @@
 				if f == nil {
 					return
 				}
-				if left || f.given || ends[f] > 0 || c.closed {
-					t.Fatalf("written though left %v, given up %v, ended %d times, closed %v", left, f.given, ends[f], c.closed)
+				if left || f.given || ends[f] > 0 || c.closed || f.Flow.Cancelled() {
+					t.Fatalf("written though left %v, given up %v, ended %d times, closed %v, client gone %v", left, f.given, ends[f], c.closed, f.Flow.Cancelled())
 				}
 				writing[c] = f
 			},
@@ -205,6 +205,21 @@
 				ends[f]++
 				carry(fx)
 			},
+			"client leaves": func(t *rapid.T) {
+				if len(all) == 0 {
+					return
+				}
+				f := all[pick(len(all))]
+				f.Flow.Cancel()
+				if ends[f] > 0 || rapid.Bool().Draw(t, "the node has not heard of it") {
+					return
+				}
+				var fx Effects
+				if p.Withdraw(now, f, &fx) {
+					check(f, NotSent)
+				}
+				carry(fx)
+			},
 			"update": func(t *rapid.T) {
 				left = rapid.IntRange(0, 3).Draw(t, "left") == 0
 				var fx Effects
--- /dev/null
+++ b/internal/forward/gone_test.go
@@ -0,0 +1,71 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"shelfproxy/internal/flow"
+)
+
+// TestGoneBeforeItIsWritten: whatever a forward waits for as its client leaves, not a byte of it is written, and the connection
+// that it waited for carries the next one. The node may have taken it back, or not have heard yet.
+func TestGoneBeforeItIsWritten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, wait := range map[string]struct {
+		fresh bool
+		first bool // another is out, and no more connections may be opened
+	}{"a dial": {}, "a dial of its own": {fresh: true}, "behind another": {first: true}} {
+		for _, heard := range []bool{true, false} {
+			conns := 4
+			if wait.first {
+				conns = 1
+			}
+			p := NewCore("s", line{}, Limits{Connect: time.Second, Idle: time.Minute, Streams: 2, Conns: conns, Waiting: 4}, NewBudget(4))
+			var fx Effects
+			var c *Conn
+			if wait.first {
+				p.Send(now, &Forward{Flow: &flow.Flow{}, Sent: now}, &fx)
+				c = fx[0].Conn
+				p.Dialed(now, c, true, &fx)
+				p.Pull(now, c, false, &fx)
+				p.Wrote(now, c, true, true, &fx)
+			}
+			gone, next := &Forward{Flow: &flow.Flow{}, Sent: now, Fresh: wait.fresh}, &Forward{Flow: &flow.Flow{}, Sent: now}
+			p.Send(now, gone, &fx)
+			gone.Flow.Cancel()
+			if heard && !p.Withdraw(now, gone, &fx) {
+				t.Errorf("%s: it can't be taken back", name)
+			}
+			if c == nil {
+				c = fx[0].Conn
+				p.Dialed(now, c, true, &fx)
+			}
+			fx = nil
+			if f := p.Pull(now, c, false, &fx); f != nil {
+				t.Fatalf("%s, heard %v: it is written", name, heard)
+			}
+			if reported := len(fx) > 0 && fx[len(fx)-1].Kind == Report; reported == heard {
+				t.Errorf("%s, heard %v: reported %v", name, heard, reported)
+			}
+			p.Send(now, next, &fx)
+			if f := p.Pull(now, c, false, &fx); f != next {
+				t.Errorf("%s, heard %v: the connection does not carry the next one", name, heard)
+			}
+		}
+	}
+}
+
+// TestNotTakenBackOnceItMayHaveRun: a forward of which a byte may be out is no longer withdrawn.
+func TestNotTakenBackOnceItMayHaveRun(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := NewCore("s", line{}, Limits{Connect: time.Second, Idle: time.Minute, Streams: 1, Conns: 4, Waiting: 4}, NewBudget(4))
+	f := &Forward{Flow: &flow.Flow{}, Sent: now}
+	var fx Effects
+	p.Send(now, f, &fx)
+	p.Dialed(now, fx[0].Conn, true, &fx)
+	p.Pull(now, fx[0].Conn, false, &fx)
+	f.Flow.Cancel()
+	if p.Withdraw(now, f, &fx) {
+		t.Error("it is taken back")
+	}
+}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -61,6 +61,17 @@
 	return written
 }
 
+// Withdraw gives up a forward of which nothing was written, and tells whether it did: it has ended then, and is not reported.
+func (p *Pool) Withdraw(f *Forward) bool {
+	var fx Effects
+	p.mu.Lock()
+	done := p.core.Withdraw(time.Now(), f, &fx)
+	p.arm()
+	p.mu.Unlock()
+	p.carry(fx, true)
+	return done
+}
+
 // CloseIdle closes the connections that nothing waits on.
 func (p *Pool) CloseIdle() {
 	var fx Effects
--- a/internal/lab/sim/pool.go
+++ b/internal/lab/sim/pool.go
@@ -53,6 +53,16 @@
 	return written
 }
 
+func (p *pool) Withdraw(f *forward.Forward) bool {
+	var fx forward.Effects
+	done := p.core.Withdraw(p.now(), f, &fx)
+	p.carry(fx)
+	if done {
+		p.claims(f, "withdrawn as not written")
+	}
+	return done
+}
+
 func (p *pool) CloseIdle() {
 	var fx forward.Effects
 	p.core.CloseIdle(p.now(), &fx)
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -243,7 +243,7 @@
 
 // Take takes a request. One whose client has left already is none.
 func (n *Core) Take(f *flow.Flow) {
-	if f.Left { // while it waited
+	if f.Cancelled() { // while it waited
 		return
 	}
 	n.take(f)
@@ -289,15 +289,29 @@
 }
 
 func (n *Core) gone(f *flow.Flow) {
-	f.Left = true
+	f.Cancel()
 	if s := n.byFlow[f]; s != nil && !s.answered {
 		n.opt.Count.Gone.Add(1)
 		n.over(s)
+		n.withdraw(s)
 		n.tell(brain.Gone{ID: s.id})
 		n.forget(s)
 	}
 }
 
+// withdraw takes back the forwards of a flow of which nothing has been written: nobody waits for them any more. Those that may
+// have run go on, as others may wait for what they fetch.
+func (n *Core) withdraw(s *state) {
+	for _, f := range s.forwards {
+		if f == nil {
+			continue
+		}
+		if srv := n.servers[f.Server]; srv != nil && srv.up.Withdraw(f) {
+			n.ended(s, f, forward.NotSent)
+		}
+	}
+}
+
 // over notes that nothing is owed for a flow any more.
 func (n *Core) over(s *state) {
 	s.answered = true
@@ -373,7 +387,7 @@
 	s.out++
 	n.opt.Count.Sent(s.class)
 	end, ok := forward.NotSent, false
-	if srv != nil && !s.answered && n.own.Now().Before(s.deadline) {
+	if srv != nil && !s.answered && !s.Cancelled() && n.own.Now().Before(s.deadline) {
 		end, ok = srv.up.Send(f)
 	}
 	if srv != nil {
--- /dev/null
+++ b/internal/node/core_test.go
@@ -0,0 +1,217 @@
+package node
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"shelfproxy/brain"
+	"shelfproxy/internal/counters"
+	"shelfproxy/internal/discovery"
+	"shelfproxy/internal/flow"
+	"shelfproxy/internal/forward"
+)
+
+// held stands in for the pool to one server: it keeps what it is given, of which nothing is written until take.
+type held struct {
+	core    *Core
+	waiting []*forward.Forward
+	out     []*forward.Forward
+}
+
+func (h *held) Send(f *forward.Forward) (forward.End, bool) {
+	h.waiting = append(h.waiting, f)
+	return 0, true
+}
+func (h *held) Abandon(f *forward.Forward) bool { return !h.Withdraw(f) }
+func (h *held) Withdraw(f *forward.Forward) bool {
+	for i, w := range h.waiting {
+		if w == f {
+			h.waiting = append(h.waiting[:i], h.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+func (h *held) CloseIdle()                             {}
+func (h *held) Update(string, bool) []*forward.Forward { return nil }
+
+// take writes what waits.
+func (h *held) take() (n int) {
+	n = len(h.waiting)
+	h.out, h.waiting = append(h.out, h.waiting...), nil
+	return n
+}
+
+// end ends the oldest forward that is out.
+func (h *held) end(e forward.End) {
+	f := h.out[0]
+	h.out = h.out[1:]
+	h.core.Landed(f, forward.Answer{End: e, Value: []byte("v")})
+}
+
+// bench is a core with one cache server and an origin, on a clock of its own.
+type bench struct {
+	core        *Core
+	now         time.Time
+	box, origin *held
+	replies     int
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{now: time.Unix(1000, 0), box: &held{}, origin: &held{}}
+	class := brain.Class{Name: "read", Worth: 1, Aim: time.Second, Late: 0.5}
+	put := brain.Class{Name: "put", Worth: 5, Aim: time.Second, Late: 0.5, Effect: brain.Unsafe}
+	ends := make([]string, forward.Ends())
+	opt := Options{Module: brain.Settings{Routers: 1, Classes: []brain.Class{class, put}, OriginKind: "origin", MaxAttempts: 6,
+		FallFactor: 3, ColdFrom: 0.2, WarmAfter: time.Second, Probes: true, MustAsk: true, Tick: time.Millisecond}, MaxOpen: 1000,
+		Count: counters.New([]string{"read", "put"}, flow.Kinds(), ends), Log: slog.New(slog.DiscardHandler),
+		Known: discovery.List{Version: 1, Whole: true, Servers: []discovery.Server{{ID: "s", Addr: "h:1", Kind: "box", Weight: 1},
+			{ID: "o", Addr: "h:2", Kind: "origin", Weight: 1}}},
+		Source: silentSource{},
+		Upstream: func(s discovery.Server, origin bool, _ func(*forward.Forward, forward.Answer)) Upstream {
+			if origin {
+				return b.origin
+			}
+			return b.box
+		}}
+	var err error
+	b.core, err = NewCore(opt, Owner{Now: func() time.Time { return b.now }, List: func(f func()) { f() }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.box.core, b.origin.core = b.core, b.core
+	b.core.Begin()
+	return b
+}
+
+type silentSource struct{}
+
+func (silentSource) Watch(int64, func(discovery.List, error)) func() { return func() {} }
+
+func (b *bench) ask(id, class string, write bool) *flow.Flow {
+	f := &flow.Flow{Key: []byte("k"), ID: []byte(id), Class: class, Write: write, Taken: b.now, Wait: 3 * time.Second,
+		Reply: func(flow.Response) { b.replies++ }}
+	b.core.Take(f)
+	return f
+}
+
+// pass lets time pass, with all that is due in it.
+func (b *bench) pass(d time.Duration) {
+	for end := b.now.Add(d); ; {
+		at, ok := b.core.Next()
+		if !ok || at.After(end) {
+			b.now = end
+			return
+		}
+		if at.After(b.now) {
+			b.now = at
+		}
+		b.core.Due()
+	}
+}
+
+// TestGoneWhileItWaits: wherever a request is as its client leaves, nothing more is begun for it, and it is forgotten; those that
+// wait for what it was to fetch have it fetched for them.
+func TestGoneWhileItWaits(t *testing.T) {
+	busy := func(b *bench) { // the origin has no room, as far as is known
+		for i := range 64 {
+			b.ask("w"+string(rune('A'+i)), "put", true)
+		}
+		b.origin.take()
+	}
+	for name, test := range map[string]struct {
+		prepare func(b *bench) *flow.Flow
+		after   func(b *bench)
+	}{
+		"for the loop": {func(b *bench) *flow.Flow {
+			f := &flow.Flow{Key: []byte("k"), ID: []byte("id"), Class: "read", Wait: time.Second, Taken: b.now}
+			f.Cancel()
+			b.core.Take(f)
+			return f
+		}, nil},
+		"for a connection to the cache server": {func(b *bench) *flow.Flow { return b.ask("id", "read", false) }, nil},
+		"for a connection to the origin": {func(b *bench) *flow.Flow {
+			f := b.ask("id", "read", false)
+			b.box.take()
+			b.box.end(forward.Missed)
+			return f
+		}, nil},
+		"between a miss and its fetch": {func(b *bench) *flow.Flow {
+			f := b.ask("id", "read", false)
+			b.box.take()
+			return f
+		}, func(b *bench) { b.box.end(forward.Missed) }},
+		"between a miss and its fetch, seen by the listener alone": {func(b *bench) *flow.Flow {
+			f := b.ask("id", "read", false)
+			b.box.take()
+			f.Cancel()
+			if b.box.end(forward.Missed); len(b.origin.waiting) > 0 {
+				t.Error("it is sent on though its client has left")
+			}
+			return f
+		}, nil},
+		"in the origin's line": {func(b *bench) *flow.Flow {
+			busy(b)
+			return b.ask("id", "put", true)
+		}, func(b *bench) {
+			for len(b.origin.out) > 0 {
+				b.origin.end(forward.Served)
+			}
+		}},
+		"for another's fetch": {func(b *bench) *flow.Flow {
+			b.ask("first", "read", false)
+			b.box.take()
+			b.box.end(forward.Missed)
+			b.origin.take()
+			return b.ask("id", "read", false)
+		}, func(b *bench) { b.origin.end(forward.Served) }},
+		"in a back-off": {func(b *bench) *flow.Flow {
+			f := b.ask("id", "read", false)
+			b.box.take()
+			b.box.end(forward.Missed)
+			b.origin.take()
+			b.origin.end(forward.Busy)
+			return f
+		}, nil},
+	} {
+		b := newBench(t)
+		f := test.prepare(b)
+		b.core.Gone(f)
+		sent := len(b.box.waiting) + len(b.origin.waiting)
+		if test.after != nil {
+			test.after(b)
+		}
+		b.pass(10 * time.Second)
+		if n := b.box.take() + b.origin.take(); n > 0 {
+			t.Errorf("%s: %d are sent on after its client left (%d waited then)", name, n, sent)
+		}
+		if b.core.byFlow[f] != nil {
+			t.Errorf("%s: it is kept", name)
+		}
+	}
+}
+
+// TestFetchOfAClientThatLeft: others wait for a fetch that was never written, and its client leaves: they go on by themselves.
+func TestFetchOfAClientThatLeft(t *testing.T) {
+	b := newBench(t)
+	first := b.ask("first", "read", false)
+	b.box.take()
+	b.box.end(forward.Missed)
+	b.ask("second", "read", false)
+	b.core.Gone(first)
+	if n := b.box.take(); n != 1 {
+		t.Fatalf("%d ask the cache server", n)
+	}
+	b.box.end(forward.Missed)
+	if n := b.origin.take(); n != 1 {
+		t.Fatalf("%d fetches", n)
+	}
+	if id := string(b.origin.out[0].Flow.ID); id != "second" {
+		t.Errorf("it is fetched for %s", id)
+	}
+	b.origin.end(forward.Served)
+	if b.replies != 1 {
+		t.Errorf("%d answers", b.replies)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 type Upstream interface {
 	Send(*forward.Forward) (forward.End, bool)
 	Abandon(*forward.Forward) (written bool)
+	Withdraw(*forward.Forward) bool
 	CloseIdle()
 	Update(addr string, left bool) (drained []*forward.Forward)
 }
