Close clients' connections in order, and see those that leave behind unread commands

Cause, by reading (internal/listener/listener.go of before): carry did net.Conn.Close for every end, and a close over unread bytes resets the connection, with the last answers that its client has not read. read waited on a channel while as many answers were owed as may be (<-s.again), so it never saw a client leave, and took its unread commands later. Close shut the listening socket over connections that the system had taken and Serve had not. Drain closed connections with half a command. bind looked at no signal.

Change: the core ends connections in order with the effect Linger (shutdown of sending, what comes is thrown away, half a second at most, a sixteenth of the places at most); what broke or is stuck is cut as before. A held reader waits for the client's close (POLLRDHUP, which shows behind unread bytes) or for the word to go on. On SIGTERM half commands and connections accepted last have half a second; what the system had taken is accepted first. SIGTERM while the address is taken ends the node.

TestClientLeaves closed a connection together with its request and asked that the node had counted it as taken; now it waits until the request is out, so that the count means what it says: as strict, and the other order has tests of its own.

Ruled out by measurement: a look for the close at every read.

--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -82,7 +82,10 @@
 	if err != nil {
 		return err
 	}
-	d, err := assemble(cfg, file, parent)
+	d, err := assemble(cfg, file, parent, term)
+	if errors.Is(err, errStopped) {
+		return nil // it had taken nothing
+	}
 	if err != nil {
 		return err
 	}
@@ -154,7 +157,7 @@
 }
 
 // assemble makes the node's parts and opens its listener.
-func assemble(cfg *config.Config, file string, parent *handover.Parent) (*daemon, error) {
+func assemble(cfg *config.Config, file string, parent *handover.Parent, term <-chan os.Signal) (*daemon, error) {
 	op := cfg.Operator
 	level, _ := logs.Level(op.Log.Level) // checked as it was read
 	log := logs.New(os.Stderr, logs.Options{Level: level, Format: op.Log.Format})
@@ -195,7 +198,10 @@
 	originLimits := limits
 	originLimits.Streams, originLimits.Conns = 1, cfg.Sockets // the budget bounds them
 
-	socket, err := openPeers(cfg, log, parent.Listener != nil)
+	socket, err := openPeers(cfg, log, parent.Listener != nil, term)
+	if errors.Is(err, errStopped) {
+		return nil, err
+	}
 	if err != nil { // messages are a help and no need: better a node that judges alone than none
 		logs.Component(log, "peers").Error("the node tells the others nothing and hears nothing", logs.Event, "peers_unavailable",
 			"error", err.Error())
@@ -265,7 +271,7 @@
 	}
 	ln := parent.Listener
 	if ln == nil {
-		ln, err = bind(log, cfg.Listen, func() (net.Listener, error) { return net.Listen("tcp", cfg.Listen) })
+		ln, err = bind(log, cfg.Listen, term, func() (net.Listener, error) { return net.Listen("tcp", cfg.Listen) })
 	} else if _, port, _ := net.SplitHostPort(cfg.Listen); strconv.Itoa(ln.Addr().(*net.TCPAddr).Port) != port {
 		err = fmt.Errorf("%s is configured, and the inherited socket is at %s", cfg.Listen, ln.Addr())
 	}
@@ -282,14 +288,14 @@
 // openPeers opens the socket to the other nodes, where the deployment allows messages and says where they go.
 //
 // Beside a process that this one replaces the address is not free yet: it is taken once that one lets go of it.
-func openPeers(cfg *config.Config, log *slog.Logger, replaces bool) (*peers.Socket, error) {
+func openPeers(cfg *config.Config, log *slog.Logger, replaces bool, term <-chan os.Signal) (*peers.Socket, error) {
 	if !cfg.Tells() {
 		return nil, nil
 	}
 	if replaces {
 		return peers.Later(cfg.Peers)
 	}
-	return bind(log, cfg.Peers.Listen, func() (*peers.Socket, error) { return peers.Open(cfg.Peers) })
+	return bind(log, cfg.Peers.Listen, term, func() (*peers.Socket, error) { return peers.Open(cfg.Peers) })
 }
 
 // A node that was killed outright is started again at once, under its address, and the one before may not have let go of
@@ -299,10 +305,13 @@
 	bindEvery = 50 * time.Millisecond
 )
 
+// errStopped says that the node was told to end before it was up.
+var errStopped = errors.New("told to end")
+
 // bind opens an address that another process may still hold.
-func bind[T any](log *slog.Logger, addr string, open func() (T, error)) (T, error) {
+func bind[T any](log *slog.Logger, addr string, term <-chan os.Signal, open func() (T, error)) (T, error) {
 	told := false
-	for end := time.Now().Add(bindFor); ; time.Sleep(bindEvery) {
+	for end := time.Now().Add(bindFor); ; {
 		v, err := open()
 		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
 			return v, err
@@ -311,6 +320,11 @@
 			told = true
 			logs.Component(log, "daemon").Warn("the address is taken; waiting for it", logs.Event, "address_taken", "address", addr)
 		}
+		select {
+		case <-term:
+			return v, errStopped
+		case <-time.After(bindEvery):
+		}
 	}
 }
 
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -272,6 +272,9 @@
 // read moves what came to the core.
 func (c *frontConn) read() {
 	c.reading = false
+	if c.eof { // whatever it sent before: nobody waits for the answers
+		c.inbox = nil
+	}
 	for len(c.inbox) > 0 && !c.core.Closed() && !c.core.Paused() {
 		var fx listener.Effects
 		k := copy(c.core.Space(), c.inbox)
@@ -279,7 +282,7 @@
 		c.n.front.Received(c.n.now(), c.core, k, &fx)
 		c.n.carry(fx)
 	}
-	if c.eof && len(c.inbox) == 0 && !c.core.Closed() && !c.core.Paused() {
+	if c.eof && !c.core.Closed() {
 		var fx listener.Effects
 		c.n.front.Ended(c.n.now(), c.core, &fx)
 		c.n.carry(fx)
@@ -306,6 +309,14 @@
 			n.front.Continue(n.now(), c.core, &more)
 			n.carry(more)
 			c.wake()
+		case listener.Linger: // nothing is lost on a stream of this network: what comes after the end comes to nobody
+			c := e.Conn.Socket.(*frontConn)
+			c.end.close()
+			n.later(n.lag(), func() {
+				var fx listener.Effects
+				n.front.Ended(n.now(), c.core, &fx)
+				n.carry(fx)
+			})
 		case listener.Shut:
 			c := e.Conn.Socket.(*frontConn)
 			c.end.close()
--- a/internal/listener/core.go
+++ b/internal/listener/core.go
@@ -35,11 +35,15 @@
 	latest  = 100 * time.Millisecond
 	atOnce  = 64
 	stuck   = 250 * time.Millisecond // without taking a byte, while too much is owed to all
+	linger  = 500 * time.Millisecond // what a closing connection's client has to read the last answer and close in its turn
 	batch   = 256 << 10              // bytes written at a time, so that what a client takes shows
 )
 
+// lingerers is how many of the places are for connections that linger: a crowd that is shown out must not keep others out.
+func lingerers(places int) int { return max(1, places/16) }
+
 func policy(l Limits) admission.TablePolicy {
-	p := admission.DefaultTable(l.Conns, l.Silent, l.Idle, l.Crowd)
+	p := admission.DefaultTable(l.Conns-lingerers(l.Conns), l.Silent, l.Idle, l.Crowd)
 	p.Bytes, p.Stuck = l.Owed, stuck
 	return p
 }
@@ -49,12 +53,13 @@
 
 // The kinds of effects.
 const (
-	Take  EffectKind = iota // hand Flow on; it may have to wait, and what comes after it on the connection with it
-	Gone                    // the client of Flow has left
-	Write                   // Conn has answers to write: Pull
-	Read                    // Conn may go on: Continue
-	Shut                    // close Conn
-	Room                    // there may be room for another connection
+	Take   EffectKind = iota // hand Flow on; it may have to wait, and what comes after it on the connection with it
+	Gone                     // the client of Flow has left
+	Write                    // Conn has answers to write: Pull
+	Read                     // Conn may go on: Continue
+	Linger                   // end sending on Conn, and read on, to throw away what comes, until it ends: say Ended then
+	Shut                     // close Conn
+	Room                     // there may be room for another connection
 )
 
 // Effect is one thing that a core wants done, in the order in which they come.
@@ -95,6 +100,7 @@
 	broken  bool    // its framing: nothing more is read
 	last    bool    // close once all that is owed is written
 	closed  bool
+	lingers time.Time // until when, once it is closed; zero where it does not
 }
 
 // Space is where the shell puts the next bytes, while the connection is not paused.
@@ -103,9 +109,13 @@
 // Paused tells whether nothing more is to be read before the effect Read.
 func (c *Conn) Paused() bool { return c.paused }
 
-// Closed tells whether it has ended.
+// Closed tells whether it has ended: nothing that comes on it is taken.
 func (c *Conn) Closed() bool { return c.closed }
 
+// Lingers tells whether it has ended and is to be read on for a while. A close over bytes that nobody read would reset the
+// connection, and take with it the last answers that the client has not read yet.
+func (c *Conn) Lingers() bool { return !c.lingers.IsZero() }
+
 // Core decides for the connections of clients: what a command is, in which order answers go out, how many may wait, and
 // who has to go. It has no clock, no sockets and no goroutines; its calls take the time and collect what is to be done.
 // It is not safe for concurrent use.
@@ -120,10 +130,13 @@
 
 	start    time.Time
 	table    *admission.Table
+	places   int
 	conns    map[uint64]*Conn
+	leaving  []*Conn // those that linger, in their order
 	lastID   uint64
 	turned   int64 // times that there was no place
 	draining bool
+	settled  time.Time // while draining: until when what began to come before may come whole
 }
 
 // Slot is the place of one command's answer, as flows know it.
@@ -132,7 +145,7 @@
 // NewCore makes a core. Classes are those that there are: a request of another one is an error. One of a tenant that the
 // deployment does not name belongs to none.
 func NewCore(now time.Time, classes, tenants []string, limits Limits, count *counters.Counters) *Core {
-	l := &Core{classes: map[string]bool{}, tenants: map[string]string{}, limits: limits, count: count,
+	l := &Core{classes: map[string]bool{}, tenants: map[string]string{}, limits: limits, count: count, places: limits.Conns,
 		conns: map[uint64]*Conn{}, start: now, table: admission.NewTable(policy(limits))}
 	for _, c := range classes {
 		l.classes[c] = true
@@ -150,6 +163,7 @@
 	l.lastID++
 	c := &Conn{core: l, id: l.lastID}
 	c.rd = redcon.NewReader(&c.guard)
+	c.last = l.draining
 	l.conns[c.id] = c
 	l.table.Open(l.at(now), c.id)
 	l.count.Accepted.Add(1)
@@ -169,12 +183,13 @@
 	return ok || l.draining
 }
 
-// Use is how many connections there are, and how often one more had to wait for a place.
-func (l *Core) Use() (used int, refused int64) { return l.table.Used(), l.turned }
+// Use is how many connections there are, those that linger too, and how often one more had to wait for a place.
+func (l *Core) Use() (used int, refused int64) { return l.table.Used() + len(l.leaving), l.turned }
 
 // SetPlaces changes how many connections there may be.
 func (l *Core) SetPlaces(n int, fx *Effects) {
-	l.table.SetPlaces(n)
+	l.places = n
+	l.table.SetPlaces(n - lingerers(n))
 	fx.add(Room, nil, nil)
 }
 
@@ -182,7 +197,15 @@
 // and keep usual clients out.
 func (l *Core) Sweep(now time.Time, fx *Effects) (next time.Duration) {
 	at := l.at(now)
+	for len(l.leaving) > 0 && !now.Before(l.leaving[0].lingers) {
+		l.shut(l.leaving[0], fx)
+	}
 	if l.draining {
+		if !now.Before(l.settled) {
+			for _, id := range slices.Sorted(maps.Keys(l.conns)) {
+				l.finish(now, l.conns[id], fx)
+			}
+		}
 		return latest
 	}
 	for _, id := range l.table.Due(at, atOnce) {
@@ -195,7 +218,7 @@
 	}
 	for id, found := l.table.Stuck(at); found; id, found = l.table.Stuck(at) {
 		l.count.Stuck.Add(1)
-		l.close(now, l.conns[id], fx) // even under a write that waits
+		l.close(now, l.conns[id], false, fx) // even under a write that waits
 	}
 	fx.add(Room, nil, nil) // one that is no longer too young may go now
 	next = latest
@@ -205,12 +228,17 @@
 	return next
 }
 
-// Drain closes connections as soon as nothing is owed on them, those that come later too.
+// Drain closes connections as soon as nothing is owed on them. A command of which half has come, and one on a connection that
+// is accepted from now on, has a moment to come whole.
 func (l *Core) Drain(now time.Time, fx *Effects) {
-	l.draining = true
+	l.draining, l.settled = true, now.Add(linger)
 	fx.add(Room, nil, nil)
 	for _, id := range slices.Sorted(maps.Keys(l.conns)) {
-		l.finish(now, l.conns[id], fx)
+		if c := l.conns[id]; c.guard.half() {
+			c.last = true
+		} else {
+			l.finish(now, c, fx)
+		}
 	}
 }
 
@@ -218,7 +246,7 @@
 func (l *Core) finish(now time.Time, c *Conn, fx *Effects) {
 	c.last = true
 	if len(c.slots) == 0 {
-		l.close(now, c, fx)
+		l.close(now, c, true, fx)
 	}
 }
 
@@ -235,7 +263,21 @@
 func (l *Core) Continue(now time.Time, c *Conn, fx *Effects) { l.decode(now, c, fx) }
 
 // Ended says that the client ended the connection, or that it broke.
-func (l *Core) Ended(now time.Time, c *Conn, fx *Effects) { l.close(now, c, fx) }
+func (l *Core) Ended(now time.Time, c *Conn, fx *Effects) {
+	if c.Lingers() {
+		l.shut(c, fx)
+		return
+	}
+	l.close(now, c, false, fx)
+}
+
+// shut ends a connection that lingers.
+func (l *Core) shut(c *Conn, fx *Effects) {
+	c.lingers = time.Time{}
+	l.leaving = slices.DeleteFunc(l.leaving, func(o *Conn) bool { return o == c })
+	fx.add(Shut, c, nil)
+	fx.add(Room, nil, nil)
+}
 
 // decode takes the commands that have come whole, as long as their answers have places.
 func (l *Core) decode(now time.Time, c *Conn, fx *Effects) {
@@ -434,7 +476,7 @@
 	}
 	if !good {
 		l.count.WriteFailed.Add(1)
-		l.close(now, c, fx)
+		l.close(now, c, false, fx)
 		return
 	}
 	// Only now are these answers no longer owed: a connection with slots is not closed as idle.
@@ -449,7 +491,7 @@
 	l.table.Answered(l.at(now), c.id, n)
 	switch {
 	case c.last && len(c.slots) == 0:
-		l.close(now, c, fx)
+		l.close(now, c, true, fx)
 		return
 	case c.paused && !c.broken:
 		fx.add(Read, c, nil)
@@ -457,17 +499,27 @@
 	l.wake(c, fx)
 }
 
-// close ends a connection; flows that still wait for their answers have lost their client.
-func (l *Core) close(now time.Time, c *Conn, fx *Effects) {
+// close ends a connection, in order where its client may still read; flows that wait for their answers have lost their client.
+func (l *Core) close(now time.Time, c *Conn, inOrder bool, fx *Effects) {
 	if c.closed {
 		return
 	}
 	c.closed = true
 	delete(l.conns, c.id)
 	l.table.Gone(l.at(now), c.id)
-	fx.add(Shut, c, nil)
+	if inOrder {
+		c.lingers = now.Add(linger)
+		l.leaving = append(l.leaving, c)
+		fx.add(Linger, c, nil)
+		if len(l.leaving) > lingerers(l.places) {
+			l.shut(l.leaving[0], fx)
+		}
+	} else {
+		fx.add(Shut, c, nil)
+	}
 	for _, s := range c.slots {
 		if s.flow != nil && !s.ready {
+			s.flow.Cancel()
 			fx.add(Gone, c, s.flow)
 		}
 	}
--- a/internal/listener/core_test.go
+++ b/internal/listener/core_test.go
@@ -58,7 +58,15 @@
 						t.Fatalf("%s: its client left, and it was told %v, answered %v", e.Flow.ID, o != nil && o.gone, replied[string(e.Flow.ID)])
 					}
 					o.gone = true
+					if !e.Flow.Cancelled() {
+						t.Fatalf("%s: its client left, and the flow does not know", e.Flow.ID)
+					}
+				case Linger:
+					of(e.Conn).ended = true
 				case Shut:
+					if e.Conn.Lingers() {
+						t.Fatal("it is closed, and lingers")
+					}
 					of(e.Conn).ended = true
 				case Read:
 					of(e.Conn).reading = true
@@ -224,6 +232,10 @@
 		var fx Effects
 		l.Drain(now, &fx)
 		carry(fx)
+		now = now.Add(linger) // those that linger end by themselves
+		fx = nil
+		l.Sweep(now, &fx)
+		carry(fx)
 		if used, _ := l.Use(); used != 0 || len(l.conns) != 0 {
 			t.Fatalf("%d connections are held in the end", used)
 		}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -5,9 +5,13 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"shelfproxy/internal/counters"
 	"shelfproxy/internal/flow"
 )
@@ -31,9 +35,48 @@
 
 // socket is the shell's part of a connection.
 type socket struct {
-	net   net.Conn
-	wake  chan struct{} // holds one word while there may be something to write, or it has ended
-	again chan struct{} // the same for reading on
+	net  net.Conn
+	wake chan struct{} // holds one word while there may be something to write, or it has ended
+
+	raw  syscall.RawConn
+	poll [1]unix.PollFd
+	left bool                  // the client has closed, whatever it sent before
+	look func(fd uintptr) bool // looks whether it has
+}
+
+func newSocket(nc net.Conn) *socket {
+	s := &socket{net: nc, wake: make(chan struct{}, 1)}
+	s.raw, _ = nc.(syscall.Conn).SyscallConn() // a TCP connection has one
+	s.look = func(fd uintptr) bool {
+		s.poll[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLRDHUP}
+		n, err := unix.Poll(s.poll[:], 0)
+		s.left = n > 0 && err == nil
+		return s.left
+	}
+	return s
+}
+
+// hold waits, without reading, until the client has closed the connection or goOn is called, and tells whether it has closed,
+// also where bytes that it sent before wait to be read. A read would show the close only behind them, and they may be requests
+// that nobody waits for.
+func (s *socket) hold() (left bool) {
+	s.raw.Read(s.look)
+	s.net.SetReadDeadline(time.Time{})             // before the core is asked: what it wants from then on is set after
+	s.raw.Control(func(fd uintptr) { s.look(fd) }) // a hold that was over before it began has not looked
+	return s.left
+}
+
+// goOn ends a hold, or the next one.
+func (s *socket) goOn() { s.net.SetReadDeadline(past) }
+
+var past = time.Unix(1, 0)
+
+// endSending tells the client that nothing more comes, and the reader that it is to throw away what does.
+func (s *socket) endSending() {
+	if c, ok := s.net.(interface{ CloseWrite() error }); ok {
+		c.CloseWrite()
+	}
+	s.goOn()
 }
 
 // New starts nothing yet; Serve does. See NewCore for classes and tenants.
@@ -64,12 +107,15 @@
 		case Write:
 			word(e.Conn.Socket.(*socket).wake)
 		case Read:
-			word(e.Conn.Socket.(*socket).again)
+			e.Conn.Socket.(*socket).goOn()
+		case Linger:
+			s := e.Conn.Socket.(*socket)
+			s.endSending()
+			word(s.wake)
 		case Shut:
 			s := e.Conn.Socket.(*socket)
 			s.net.Close()
 			word(s.wake)
-			word(s.again)
 		case Room:
 			l.room.Broadcast()
 		}
@@ -91,12 +137,15 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) { // set by Close: all that had come is accepted
+			return l.ln.Close()
+		}
 		if err != nil {
 			l.count.AcceptFailed.Add(1)
 			time.Sleep(5 * time.Millisecond) // out of descriptors, say: those in use come back
 			continue
 		}
-		s := &socket{net: nc, wake: make(chan struct{}, 1), again: make(chan struct{}, 1)}
+		s := newSocket(nc)
 		l.done.Add(2)
 		l.call(func(now time.Time, fx *Effects) {
 			c := l.core.Accepted(now)
@@ -135,15 +184,15 @@
 	l.call(func(_ time.Time, fx *Effects) { l.core.SetPlaces(n, fx) })
 }
 
-// sweep has the core look at its connections until the listener is closed.
+// sweep has the core look at its connections until the listener is closed and the last of them has ended.
 func (l *Listener) sweep() {
 	for wait := latest; ; {
 		time.Sleep(wait)
 		over := false
 		l.call(func(now time.Time, fx *Effects) {
-			if over = l.draining; !over {
-				wait = l.core.Sweep(now, fx)
-			}
+			wait = l.core.Sweep(now, fx)
+			used, _ := l.core.Use()
+			over = l.draining && used == 0
 		})
 		if over {
 			return
@@ -154,47 +203,58 @@
 // StopAccepting leaves new connections to whoever else accepts at the same socket.
 func (l *Listener) StopAccepting() { l.ln.Close() }
 
+// lastAccept is how long connections that the system has taken already may wait to be accepted, once the listener closes: what
+// was sent on them would be lost with them.
+const lastAccept = 20 * time.Millisecond
+
 // Close stops accepting and closes connections as soon as nothing is owed on them.
 func (l *Listener) Close() {
-	l.ln.Close()
 	l.call(func(now time.Time, fx *Effects) {
 		l.draining = true
 		l.core.Drain(now, fx)
 	})
+	ln, ok := l.ln.(interface{ SetDeadline(time.Time) error })
+	if !ok || ln.SetDeadline(time.Now().Add(lastAccept)) != nil {
+		l.ln.Close()
+	}
 }
 
 // Wait returns when the last connection is closed.
 func (l *Listener) Wait() { l.done.Wait() }
 
-// read moves bytes to the core until the connection ends.
+// read moves bytes to the core until the connection ends. While the core wants none it waits for the end alone.
 func (l *Listener) read(c *Conn, s *socket) {
 	defer l.done.Done()
 	var fx Effects
-	for {
-		n, err := s.net.Read(c.Space())
-		over, paused := false, n > 0
-		for first := true; paused; first = false {
-			if !first {
-				<-s.again
-			}
-			fx = fx[:0]
-			l.mu.Lock()
-			if first {
-				l.core.Received(time.Now(), c, n, &fx)
-			} else if !c.Closed() {
-				l.core.Continue(time.Now(), c, &fx)
-			}
-			over = c.Closed()
-			paused = c.Paused() && !over
-			l.mu.Unlock()
-			l.carry(fx)
-			clear(fx) // they hold on to what was read
+	for held := false; ; {
+		n, left := 0, false
+		var err error
+		if held {
+			left = s.hold()
+		} else {
+			n, err = s.net.Read(c.Space())
 		}
-		if over {
-			return
+		if errors.Is(err, os.ErrDeadlineExceeded) { // of a hold that was over by itself
+			s.net.SetReadDeadline(time.Time{})
+			err = nil
 		}
-		if err != nil {
-			l.call(func(now time.Time, fx *Effects) { l.core.Ended(now, c, fx) })
+		fx = fx[:0]
+		l.mu.Lock()
+		switch now := time.Now(); {
+		case left || err != nil && n == 0:
+			l.core.Ended(now, c, &fx)
+		case c.Closed(): // what comes is thrown away
+		case n > 0:
+			l.core.Received(now, c, n, &fx)
+		case held:
+			l.core.Continue(now, c, &fx)
+		}
+		over := c.Closed() && !c.Lingers()
+		held = !c.Closed() && c.Paused()
+		l.mu.Unlock()
+		l.carry(fx)
+		clear(fx) // they hold on to what was read
+		if over {
 			return
 		}
 	}
--- a/tests/node_test.go
+++ b/tests/node_test.go
@@ -361,16 +361,17 @@
 // A client that leaves takes nothing with it.
 func TestClientLeaves(t *testing.T) {
 	t.Parallel()
-	r := newRig(t, newTarget(t, func(args []string) string {
-		time.Sleep(50 * time.Millisecond)
-		return hit(args)
-	})).start()
-	r.dial().send("CACHE.GET", "k", "id1", "c=read,d=2900").Close()
+	box, release := stuckTarget(t)
+	r := newRig(t, box).start()
+	gone := r.dial().send("CACHE.GET", "stuck", "id1", "c=read,d=2900")
+	r.until("the request is sent on", func() bool { return len(box.seen()) == 1 })
+	gone.Close()
 	c := r.dial()
 	c.send("CACHE.GET", "k", "id2", "c=read,d=2900").want("value-id2")
 	r.until("the leaving was counted", func() bool {
 		return strings.Contains(c.send("INFO").answer(), "flows_client_left 1\n")
 	})
+	close(release)
 }
 
 // Clients that say nothing, or half a command, are closed, however few there are; one that made a request may stay.
