Know what discovery has within six seconds of when it could be had

Change: no wait is longer than what the 6 s and drain_grace leave when the call that failed was given up as late as may be and the next is answered as late as may be (brain.patience); the spread comes from the same sum (slack). A watch is silent after 3 s: a line comes every 2 s, half of that for its way. A call is given up after 2.25 s, as discovery itself does after 2; an agent's after 0.25 s, as it is on the same machine. A list is a JSON object, however many lines it takes.

TestFollowerTakesListsInAnyForm, TestFollowerFindsSilence.

Tests changed: those on calls had a drain_grace of 0, which no deployment has; it is 2.5 s now. The simulation judged nothing that was told while discovery was down; it does now (plan.toldWithin).

--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -679,7 +679,7 @@
 
 func TestListCallsBackOff(t *testing.T) {
 	set := testSettings()
-	set.MustAsk = true
+	set.MustAsk, set.DrainGrace = true, 2500*ms
 	b := newBench(t, set, "s1")
 	var gaps []time.Duration
 	last := b.now
--- a/brain/gossip_test.go
+++ b/brain/gossip_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"shelfproxy/internal/asking"
 	"shelfproxy/internal/gossip"
 )
 
@@ -24,7 +25,7 @@
 func newFleet(t *testing.T, routers int, peers bool, lost float64, servers ...string) *fleet {
 	f := &fleet{lost: lost, rng: rand.New(rand.NewPCG(1, 1))}
 	set := testSettings()
-	set.Routers, set.Peers = routers, peers
+	set.Routers, set.Peers, set.DrainGrace = routers, peers, 2500*ms
 	for i := range routers {
 		b := newBench(t, set, servers...)
 		b.r.rng = rand.New(rand.NewPCG(uint64(i), 7))
@@ -233,7 +234,7 @@
 // each has one call out at a time, and the list they hold serves meanwhile.
 func TestListCallsOfAFleetAreSpread(t *testing.T) {
 	set := testSettings()
-	set.Routers, set.MustAsk = 80, true
+	set.Routers, set.MustAsk, set.DrainGrace = 80, true, 2500*ms
 	var routers []*bench
 	for i := range set.Routers {
 		b := newBench(t, set)
@@ -267,24 +268,44 @@
 	}
 }
 
-// TestCallsForTheListKeepTheRules: however many routers there are, the first call and a second one, should that fail, are
-// answered before the grace is over for a drain that counts as told 6 s after a start; and calls are no closer than one
-// service can take: 5 ms each where a list names 200 servers, as was measured on the fleet's days.
+// TestCallsForTheListKeepTheRules: however many routers there are, what the list has to tell counts as told 6 s after it could be
+// had, and the grace for drains runs from there. Within both, a watch that falls silent as a change is made is found out and the
+// call after it answered; a call is made and answered after one that failed, had the list come back the moment that one began;
+// and, after a start, a second call after a first that failed. Calls are no closer than one service can take: 5 ms each where a
+// list names 200 servers, as was measured on the fleet's days, or a little less where the grace leaves no more.
 func TestCallsForTheListKeepTheRules(t *testing.T) {
-	for _, routers := range []int{1, 4, 80, 300, 1000} {
-		set := testSettings()
-		set.Routers, set.MustAsk = routers, true
-		set.MustAskIn, set.DrainGrace = 10*time.Second, 2500*ms
-		b := newBench(t, set)
-		first, again := b.r.spread(), b.r.calls.First()
-		if worst := first + listCall + again + upkeepEvery; worst > listTold+set.DrainGrace+upkeepEvery {
-			t.Errorf("%d routers: a second call is made up to %v after a start", routers, worst)
-		}
-		if routers <= 300 && first < 5*ms*time.Duration(routers) {
-			t.Errorf("%d routers make their first calls within %v", routers, first)
-		}
-		if routers <= 4 && first > 200*ms {
-			t.Errorf("%d routers wait up to %v", routers, first)
+	for grace, pace := range map[time.Duration]time.Duration{2500 * ms: 5 * ms, 500 * ms: 4 * ms} {
+		for _, routers := range []int{1, 4, 80, 300, 1000} {
+			set := testSettings()
+			set.Routers, set.MustAsk = routers, true
+			set.MustAskIn, set.DrainGrace = 10*time.Second, grace
+			b := newBench(t, set)
+			first, again := b.r.spread(), b.r.calls.First()
+			most := listTold + grace
+			if worst := asking.Silence + upkeepEvery + first + listCall; worst > most {
+				t.Errorf("%d routers: the call after a silent watch is answered up to %v after a change", routers, worst)
+			}
+			for range 10 { // the waits grow
+				b.r.calls.Failed(b.now)
+			}
+			b.r.calls.Jitter = func(wait time.Duration) time.Duration { return wait } // the longest there is
+			failed := b.now
+			b.do(List{Scope: Failed})
+			for len(find[Subscribe](b.do(Timer{housekeep}))) == 0 {
+				b.now += upkeepEvery
+			}
+			if worst := asking.CallWithin + b.now - failed + listCall; worst > most {
+				t.Errorf("%d routers: the call after one that failed is answered up to %v after the list is back", routers, worst)
+			}
+			if worst := first + listCall + again + upkeepEvery; worst > most+upkeepEvery {
+				t.Errorf("%d routers: a second call is made up to %v after a start", routers, worst)
+			}
+			if routers <= 300 && first < pace*time.Duration(routers) {
+				t.Errorf("%d routers make their first calls within %v", routers, first)
+			}
+			if routers <= 4 && first > 200*ms {
+				t.Errorf("%d routers wait up to %v", routers, first)
+			}
 		}
 	}
 }
@@ -443,7 +464,7 @@
 // over the time that the whole fleet would; where they cannot be told, those of the settings count.
 func TestFleetSize(t *testing.T) {
 	set := testSettings()
-	set.Routers, set.Peers = 60, true
+	set.Routers, set.Peers, set.DrainGrace = 60, true, 2500*ms
 	b := newBench(t, set, names(4)...)
 	probe, call := b.r.again(), b.r.calls.Spread
 	b.do(Fleet{Routers: 30})
@@ -514,7 +535,8 @@
 }
 
 // TestOneCallsForAll: while the list does not answer for eight seconds, one router calls for all and tells the others when
-// it answers again. They call as soon as without, and a fraction as often; with every word lost each still calls.
+// it answers again. They call as soon as without, and two thirds as often at most; with every word lost each still calls, as soon
+// as the rule on what counts as told wants.
 func TestOneCallsForAll(t *testing.T) {
 	const routers = 80
 	type result struct {
@@ -577,7 +599,7 @@
 	}
 	alone, one, deaf := play(false, 0), play(true, 0), play(true, 1)
 	t.Logf("%d calls failed without the duty, all had the list %v after; %d with it, %v; with every word lost %d, %v", alone.failed, alone.last, one.failed, one.last, deaf.failed, deaf.last)
-	if one.failed*2 > alone.failed || one.last > 6*time.Second || deaf.last > 17*time.Second {
+	if one.failed*3 > alone.failed*2 || one.last > 6*time.Second || deaf.last > 4500*ms {
 		t.Errorf("%+v alone, %+v with the duty, %+v with every word lost", alone, one, deaf)
 	}
 }
--- /dev/null
+++ b/brain/list_test.go
@@ -0,0 +1,103 @@
+package brain
+
+import (
+	"testing"
+	"time"
+
+	"shelfproxy/internal/asking"
+)
+
+// service is one that answers calls for the list in turn: each takes a while, and one that waits for too long fails.
+type service struct {
+	each   time.Duration
+	free   Time // when it is done with what it has
+	down   Time // until when calls fail at once
+	answer map[int]struct {
+		at Time
+		ok bool
+	}
+}
+
+func (s *service) call(now Time, router int) {
+	a := struct {
+		at Time
+		ok bool
+	}{now + ms, false}
+	if now >= s.down {
+		if s.free = max(s.free, now) + s.each; s.free-now <= listCall {
+			a.at, a.ok = s.free, true
+		} else {
+			s.free -= s.each
+			a.at = now + listCall
+		}
+	}
+	s.answer[router] = a
+}
+
+// TestAllHaveTheListInTime: 300 routers and one service that takes 5 ms for each list. What it has is known to all in the time after
+// which it counts as told and the grace that follows, from when it could be had: where all watches fall silent at once, where it was
+// down for 8 s, and where all are sent to another one in the same moment.
+func TestAllHaveTheListInTime(t *testing.T) {
+	const routers = 300
+	for name, test := range map[string]struct {
+		silent bool
+		down   Time
+		moved  bool
+	}{"silent": {silent: true}, "down": {down: 8 * time.Second}, "moved": {moved: true}} {
+		f := newFleet(t, routers, false, 0, "s1")
+		s := &service{each: 5 * ms, down: f.benches[0].now + test.down, answer: map[int]struct {
+			at Time
+			ok bool
+		}{}}
+		began := f.benches[0].now
+		have := make([]Time, routers)
+		for i, b := range f.benches {
+			b.r.set.MustAsk = true
+			b.do(List{Scope: Changes}) // it has what there is
+			switch {
+			case test.moved:
+				s.call(b.now, i)
+			case test.down > 0:
+				b.do(List{Scope: Failed})
+			}
+		}
+		for n, left := 0, routers; left > 0; n++ {
+			for i, b := range f.benches {
+				b.now += 10 * ms
+				var acts []Action
+				if test.silent && b.now-began == asking.Silence {
+					acts = append(acts, b.do(List{Scope: Failed})...)
+				}
+				if (n+i)%25 == 0 {
+					acts = append(acts, b.do(Timer{Token: housekeep})...)
+				}
+				if a, out := s.answer[i]; out && b.now >= a.at {
+					delete(s.answer, i)
+					scope := Failed
+					if a.ok {
+						scope = Changes
+						if have[i] == 0 {
+							have[i] = b.now
+							left--
+						}
+					}
+					acts = append(acts, b.do(List{Scope: scope})...)
+				}
+				for range find[Subscribe](acts) {
+					s.call(b.now, i)
+				}
+			}
+			if n > 6000 {
+				t.Fatalf("%s: %d never have the list", name, left)
+			}
+		}
+		last := Time(0)
+		for _, at := range have {
+			last = max(last, at-began-test.down)
+		}
+		t.Logf("%s: all have the list %v after it could be had", name, last)
+		if most := listTold + f.benches[0].r.set.DrainGrace; last > most {
+			t.Errorf("%s: the last has the list %v after it could be had, want %v", name, last, most)
+		}
+	}
+}
--- a/brain/router.go
+++ b/brain/router.go
@@ -188,7 +188,7 @@
 	r.pool.floor = time.Duration(float64(r.pool.limit) * poolFloor)
 	r.home.objectives, r.home.pool = r.pool.objectives, &r.pool
 	r.eject.Share = set.ServersOut
-	r.calls = asking.Calls{Spread: r.spread(), Within: set.MustAskIn, Jitter: r.jitter}
+	r.calls = asking.Calls{Spread: r.spread(), Most: r.patience(), Within: set.MustAskIn, Jitter: r.jitter}
 	if r.pace = pace; set.Peers {
 		r.pace = paceTold
 	}
@@ -286,23 +286,33 @@
 	return time.Duration(r.rng.Int64N(int64(max(wait, 1))))
 }
 
-// How routers spread their calls for the list, which one service answers for all.
+// How routers spread their calls for the list, which one service answers for all, and the protocol's bounds on them.
 const (
 	listPace = 50 * time.Millisecond // between two calls, where there is time for that
-	listTold = 6 * time.Second       // what the list has to tell counts as told by then, heard or not (the protocol)
+	listTold = 6 * time.Second       // what the list has to tell counts as told so long after it could be had, heard or not
 	listCall = 2 * time.Second       // a call that waits for longer fails
 )
 
-// spread is the time over which routers spread their first calls for the list. A call that fails must leave time for a
-// second one before the grace for drains is over that may have been told meanwhile: one half for each.
-func (r *Router) spread() time.Duration {
+// slack is what is left of the time between a change and the last attempt that may ignore it, once the news of it took so long,
+// the call that brings it was answered, and upkeep got round to make it.
+func (r *Router) slack(news time.Duration) time.Duration {
 	told := listTold
 	if r.set.MustAskIn > 0 {
 		told = min(told, r.set.MustAskIn)
 	}
-	return min(listPace*time.Duration(r.set.Routers), (told+r.set.DrainGrace-listCall)/2)
+	return max(upkeepEvery, told+r.set.DrainGrace-news-listCall-upkeepEvery)
 }
 
+// spread is the time over which routers spread their first calls for the list: a watch that falls silent as a change is made is
+// found out a while later.
+func (r *Router) spread() time.Duration {
+	return min(listPace*time.Duration(r.set.Routers), r.slack(asking.Silence))
+}
+
+// patience is the longest that a router waits after a call that failed: the list may be there again the moment after the call was
+// made, and it is given up late.
+func (r *Router) patience() time.Duration { return r.slack(asking.CallWithin) }
+
 // fleet takes it how many routers share the traffic: what is divided by them, or spread over them, is so anew.
 func (r *Router) fleet(n int) {
 	if n <= 0 {
--- a/cmd/shelfproxy/run.go
+++ b/cmd/shelfproxy/run.go
@@ -219,7 +219,7 @@
 	}
 	long := forward.NewRoom(cfg.MemoryMB<<20/longShare, max(leastValue, cfg.MemoryMB<<20/valueShare))
 	n, err := node.New(node.Options{Tell: tell, Spread: spread, Module: module, Seed: cfg.Seed, MaxOpen: cfg.Node.MaxOpen, MaxHeld: cfg.MemoryMB << 20 / heldShare, MaxWait: cfg.Node.LongestWait,
-		Known: cfg.Known, Source: &discovery.Client{Addr: cfg.Discovery}, Count: count, Log: logs.Component(log, "node"),
+		Known: cfg.Known, Source: source(cfg), Count: count, Log: logs.Component(log, "node"),
 		Upstream: func(s discovery.Server, isOrigin bool, report func(*forward.Forward, forward.Answer)) node.Upstream {
 			if isOrigin {
 				return forward.NewPool(s.Addr, origin.Codec{Host: s.Addr, Room: long}, originLimits,
@@ -285,6 +285,15 @@
 		split: admission.NewSplit(split), targets: targets, origins: origins}, nil
 }
 
+// source is discovery, or the agent on this machine that lists are pushed to.
+func source(cfg *config.Config) *discovery.Client {
+	c := &discovery.Client{Addr: cfg.Discovery}
+	if !cfg.Module.MustAsk {
+		c.Within = discovery.AgentWithin
+	}
+	return c
+}
+
 // openPeers opens the socket to the other nodes, where the deployment allows messages and says where they go.
 //
 // Beside a process that this one replaces the address is not free yet: it is taken once that one lets go of it.
@@ -559,7 +568,7 @@
 	d.movePeers(cfg)
 	if d.cfg.Discovery != cfg.Discovery {
 		d.log.Info("reload: discovery moves", logs.Event, "discovery_moved", "from", d.cfg.Discovery, "to", cfg.Discovery)
-		d.node.Follow(&discovery.Client{Addr: cfg.Discovery})
+		d.node.Follow(source(cfg))
 		kept := *d.cfg
 		kept.Discovery = cfg.Discovery
 		d.cfg = &kept
--- a/internal/asking/asking.go
+++ b/internal/asking/asking.go
@@ -17,16 +17,26 @@
 	Another            // another node does
 )
 
+// What a node makes of a discovery that says nothing.
 const (
-	every   = time.Second // of the node that calls for all, and the least that a first wait can be
-	longest = 16 * every  // that a wait grows to
-	unheard = 10 * every  // a call that is never answered is made again after this
+	// Silence is how long a watch may say nothing: an empty line comes every 2 s, and half of that is for its way.
+	Silence = 3 * time.Second
+	// CallWithin is how long a call may be unanswered: discovery itself gives it up after 2 s, and says so.
+	CallWithin = 2250 * time.Millisecond
+)
+
+const (
+	every   = time.Second            // of the node that calls for all
+	least   = 500 * time.Millisecond // that a first wait can be
+	longest = 16 * every             // that a wait grows to, where nothing bounds it
+	unheard = 10 * every             // a call that is never answered is made again after this
 )
 
 // Calls is when one node calls. Waits are of full jitter: Jitter draws any moment up to a wait.
 type Calls struct {
 	Spread time.Duration // over which all nodes spread their calls when something told them all
 	Within time.Duration // a node that did not call for so long may not use its list; 0 is for ever
+	Most   time.Duration // no wait is longer: discovery may answer again the moment after a call failed; 0 is no bound
 	Jitter func(time.Duration) time.Duration
 
 	asking bool
@@ -38,7 +48,14 @@
 }
 
 // First is the wait after the first failure.
-func (c *Calls) First() time.Duration { return max(every, c.Spread) }
+func (c *Calls) First() time.Duration { return min(max(least, c.Spread), c.most()) }
+
+func (c *Calls) most() time.Duration {
+	if c.Most > 0 {
+		return c.Most
+	}
+	return longest
+}
 
 // Start plans the first call.
 func (c *Calls) Start(now Time) { c.asking, c.at = true, now+c.Jitter(c.Spread) }
@@ -59,17 +76,17 @@
 	}
 	wait := c.Jitter(c.wait)
 	// Whose duty it is calls steadily, and its word brings all others; these call by themselves only in case that is lost.
-	switch most := longest; {
+	switch most := c.most(); {
 	case c.who == Self:
-		wait = every
+		wait = min(every, most)
 	case c.who == Another && c.missed:
 		if c.Within > 0 {
 			most = max(every, min(most, c.Within))
 		}
-		wait = most/2 + c.Jitter(most/2)
+		wait = most - most/8 + c.Jitter(most/8)
 	}
 	c.asking, c.missed = true, true
-	c.at, c.wait = now+wait, min(2*c.wait, longest)
+	c.at, c.wait = now+wait, min(2*c.wait, c.most())
 }
 
 // Listed takes it that discovery answered.
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"shelfproxy/internal/asking"
 )
 
 // Source is where lists come from. A watch in the manner of another service can take its place.
@@ -20,11 +22,16 @@
 
 // Client speaks to the discovery service at Addr. It moves bytes; a Follower decides.
 type Client struct {
-	Addr string
-	once sync.Once
-	http *http.Client
+	Addr   string
+	Within time.Duration // a call is to be answered in; 0 is asking.CallWithin
+	once   sync.Once
+	http   *http.Client
 }
 
+// AgentWithin is how long a call of an agent may be unanswered. It is on the node's own machine and answers at once with what it
+// has; where it is silent it has to be found quickly when it no longer is, as what it gets then counts as told.
+const AgentWithin = 250 * time.Millisecond
+
 // Path is that of the call for a watch on what changes after a version.
 func Path(after int64) string {
 	return "/discovery/hosts?watch=1&after=" + strconv.FormatInt(after, 10)
@@ -33,14 +40,17 @@
 // Watch opens a watch of its own connection.
 func (c *Client) Watch(after int64, report func(List, error)) (stop func()) {
 	c.once.Do(func() {
+		if c.Within == 0 {
+			c.Within = asking.CallWithin
+		}
 		c.http = &http.Client{Transport: &http.Transport{
-			DialContext:       (&net.Dialer{Timeout: answerWithin}).DialContext,
-			DisableKeepAlives: true, ResponseHeaderTimeout: answerWithin}}
+			DialContext:       (&net.Dialer{Timeout: c.Within}).DialContext,
+			DisableKeepAlives: true, ResponseHeaderTimeout: c.Within}}
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		defer cancel()
-		w := &watch{follower: NewFollower(time.Now()), cancel: cancel, report: report}
+		w := &watch{follower: NewFollower(time.Now(), c.Within), cancel: cancel, report: report}
 		w.timer = time.AfterFunc(time.Until(w.follower.Next()), w.due)
 		defer w.timer.Stop()
 		err := w.follow(ctx, c.http, "http://"+c.Addr+Path(after))
@@ -114,9 +124,7 @@
 			if errors.Is(broke, io.EOF) {
 				broke = nil
 			}
-			var last []List
-			last, err = w.step(func(now time.Time) ([]List, error) { return w.follower.Ended(now, broke) })
-			lists = append(lists, last...)
+			_, err = w.step(func(time.Time) ([]List, error) { return nil, w.follower.Ended(broke) })
 		}
 		for _, l := range lists {
 			w.report(l, nil)
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -1,101 +1,127 @@
 package discovery
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"time"
 
 	"github.com/valyala/fastjson"
-)
 
-const (
-	// Discovery gives a call up after 2 s. One that it accepts and forgets must leave time for another before what it
-	// has to tell counts as told.
-	answerWithin = 2500 * time.Millisecond
-	silence      = 5 * time.Second // an empty line comes every 2 s, and what two lines told counts as told 6 s later
-	maxLine      = 4 << 20
+	"shelfproxy/internal/asking"
 )
 
+const maxList = 4 << 20 // bytes
+
 // How a watch ends, beside what its connection does.
 var (
 	// ErrGarbage ends a watch that sent what is no list.
-	ErrGarbage = errors.New("discovery: no list")
-	errSilent  = errors.New("discovery: the watch fell silent")
-	errLate    = errors.New("discovery: the call was not answered in time")
-	errEnded   = errors.New("discovery: the watch ended")
-	errTooLong = fmt.Errorf("%w: a line without an end", ErrGarbage)
+	ErrGarbage  = errors.New("discovery: no list")
+	errSilent   = errors.New("discovery: the watch fell silent")
+	errLate     = errors.New("discovery: the call was not answered in time")
+	errEnded    = errors.New("discovery: the watch ended")
+	errTooLong  = fmt.Errorf("%w: one without an end", ErrGarbage)
+	errNoObject = fmt.Errorf("%w: something that is no object", ErrGarbage)
 )
 
 // Follower is one watch as a state machine: it cuts lists out of what the watch sends, and judges when it has fallen
 // silent. It has no clock and no I/O: whoever moves the bytes tells it what came and when.
+//
+// A list is a JSON object; it may be indented, and so take many lines. Between lists there is white space, and a line of nothing
+// else says that nothing has changed.
 type Follower struct {
 	opened bool
 	until  time.Time // silent from then on
-	line   []byte    // of which the end has not come yet
+	list   []byte    // of which the end has not come yet
+	depth  int       // of the brackets that are open in it
+	text   bool      // it is within a string
+	escape bool      // whose next byte is escaped
 	parser fastjson.Parser
 	ended  bool
 }
 
-// NewFollower begins a watch with its call.
-func NewFollower(now time.Time) *Follower { return &Follower{until: now.Add(answerWithin)} }
+// NewFollower begins a watch with its call, which is to be answered in a time.
+func NewFollower(now time.Time, within time.Duration) *Follower {
+	return &Follower{until: now.Add(within)}
+}
 
 // Answered takes the status of the answer.
 func (f *Follower) Answered(now time.Time, status int) error {
 	if status != 200 {
 		return f.end(fmt.Errorf("discovery: status %d", status))
 	}
-	f.opened, f.until = true, now.Add(silence)
+	f.opened, f.until = true, now.Add(asking.Silence)
 	return nil
 }
 
 // Received takes bytes of the answer's body and returns the lists that came whole, in order. After an error the watch is
 // over; the lists that come with it count.
 func (f *Follower) Received(now time.Time, b []byte) (lists []List, err error) {
-	for !f.ended {
-		text, rest, whole := bytes.Cut(b, []byte{'\n'})
-		if !whole {
-			if f.line = append(f.line, b...); len(f.line) > maxLine {
-				return lists, f.end(errTooLong)
-			}
-			return lists, nil
-		}
-		if b = rest; len(f.line) > 0 {
-			text = append(f.line, text...)
-			f.line = f.line[:0]
-		}
-		f.until = now.Add(silence)
-		if text = bytes.TrimSuffix(text, []byte{'\r'}); len(text) == 0 {
-			continue
+	if f.ended {
+		return nil, nil
+	}
+	begun := 0 // where in b the part of the list in hand begins
+	for i, c := range b {
+		if c == '\n' {
+			f.until = now.Add(asking.Silence)
 		}
-		v, err := f.parser.ParseBytes(text)
-		if err != nil {
-			return lists, f.end(fmt.Errorf("%w: %w", ErrGarbage, err))
+		switch {
+		case f.depth == 0:
+			switch c {
+			case ' ', '\t', '\r', '\n':
+				begun = i + 1
+			case '{':
+				f.depth, begun = 1, i
+			default:
+				return lists, f.end(errNoObject)
+			}
+		case f.escape:
+			f.escape = false
+		case f.text:
+			f.escape, f.text = c == '\\', c != '"'
+		case c == '"':
+			f.text = true
+		case c == '{' || c == '[':
+			f.depth++
+		case c == '}' || c == ']':
+			if f.depth--; f.depth > 0 {
+				break
+			}
+			f.list = append(f.list, b[begun:i+1]...)
+			begun, f.until = i+1, now.Add(asking.Silence)
+			l, err := f.parse()
+			if err != nil {
+				return lists, f.end(fmt.Errorf("%w: %w", ErrGarbage, err))
+			}
+			lists = append(lists, l)
 		}
-		l, err := Parse(v)
-		if err != nil {
-			return lists, f.end(fmt.Errorf("%w: %w", ErrGarbage, err))
+	}
+	if f.depth > 0 {
+		if f.list = append(f.list, b[begun:]...); len(f.list) > maxList {
+			return lists, f.end(errTooLong)
 		}
-		lists = append(lists, l)
 	}
 	return lists, nil
 }
 
-// Ended says that the answer has ended, and how its connection broke where it did. What came of the last line is a list
-// too, if it is a whole one.
-func (f *Follower) Ended(now time.Time, broke error) (lists []List, err error) {
-	if f.ended {
-		return nil, nil
-	}
-	if broke == nil && len(f.line) > 0 {
-		if lists, err = f.Received(now, []byte{'\n'}); err != nil {
-			return lists, err
-		}
+// parse reads the list in hand, which has come whole.
+func (f *Follower) parse() (List, error) {
+	v, err := f.parser.ParseBytes(f.list)
+	f.list = f.list[:0]
+	if err != nil {
+		return List{}, err
 	}
-	if broke == nil {
+	return Parse(v)
+}
+
+// Ended says that the answer has ended, and how its connection broke where it did. A list of which the end has not come is none.
+func (f *Follower) Ended(broke error) error {
+	switch {
+	case f.ended:
+		return nil
+	case broke == nil:
 		broke = errEnded
 	}
-	return lists, f.end(broke)
+	return f.end(broke)
 }
 
 // Next is when Due is wanted.
--- a/internal/discovery/follower_fuzz_test.go
+++ b/internal/discovery/follower_fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -10,14 +11,14 @@
 // stays an end.
 func FuzzFollower(f *testing.F) {
 	list := `{"generation":43,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"10.1.0.18:6379","zone":"a","machineType":"m2","cell":3,"lifecycle":"up","weight":1.0,"startedAtMs":0}]}`
-	for _, s := range []string{list + "\n\n\r\n" + list + "\n", list, "{}\n", `{"generation":1}` + "\n", "\n\n", "null\n", `{"generation":1,"instances":[{"lifecycle":"gone"}]}` + "\n"} {
+	for _, s := range []string{list + "\n\n\r\n" + list + "\n", list, "{}\n", `{"generation":1}` + "\n", "\n\n", strings.ReplaceAll(list, ",", ",\n\t"), `{"a":"}\""}`, "{}}", "null\n", `{"generation":1,"instances":[{"lifecycle":"gone"}]}` + "\n"} {
 		f.Add([]byte(s), uint8(5), true)
 		f.Add([]byte(s), uint8(0), false)
 	}
 	f.Fuzz(func(t *testing.T, text []byte, piece uint8, ends bool) {
 		start := time.Unix(1000, 0)
 		play := func(piece int) string {
-			w := NewFollower(start)
+			w := NewFollower(start, time.Second)
 			w.Answered(start, 200)
 			var all []List
 			var over error
@@ -27,10 +28,7 @@
 				all, over, rest = append(all, lists...), err, rest[n:]
 			}
 			if over == nil && ends {
-				var lists []List
-				lists, over = w.Ended(start, nil)
-				all = append(all, lists...)
-				if over == nil {
+				if over = w.Ended(nil); over == nil {
 					t.Fatal("it has ended, and does not say so")
 				}
 			}
--- /dev/null
+++ b/internal/discovery/follower_test.go
@@ -0,0 +1,61 @@
+package discovery
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"shelfproxy/internal/asking"
+)
+
+const entry = `{"instanceId":"s-1","hostPort":"10.1.0.18:6379","zone":"a}{\"","machineType":"m2","cell":3,"lifecycle":"draining","weight":1.0,"startedAtMs":0}`
+
+// TestFollowerTakesListsInAnyForm: a list is taken as soon as its last byte has come, on one line or indented over many, wherever it
+// is cut; half a one is none, however the watch ends.
+func TestFollowerTakesListsInAnyForm(t *testing.T) {
+	list := `{"generation":43,"reset":false,"instances":[` + entry + `]}`
+	indented := strings.NewReplacer(`,"`, ",\n  \"", `[`, "[\n\t", `]}`, "\n]\n}").Replace(list)
+	now := time.Unix(1000, 0)
+	for name, text := range map[string]string{"one line": list, "indented": indented, "with line ends of two bytes": strings.ReplaceAll(indented, "\n", "\r\n")} {
+		for at := range len(text) {
+			f := NewFollower(now, time.Second)
+			f.Answered(now, 200)
+			half, err := f.Received(now, []byte("\n"+text[:at]))
+			if len(half) > 0 || err != nil {
+				t.Fatalf("%s, cut at %d: %d lists, %v", name, at, len(half), err)
+			}
+			whole, err := f.Received(now, []byte(text[at:]))
+			if len(whole) != 1 || err != nil || whole[0].Version != 43 || whole[0].Servers[0].State != Draining {
+				t.Fatalf("%s, cut at %d: %+v, %v", name, at, whole, err)
+			}
+			if err := f.Ended(nil); !errors.Is(err, errEnded) {
+				t.Fatalf("%s: %v at the end", name, err)
+			}
+		}
+	}
+}
+
+// TestFollowerFindsSilence: a watch is broken once nothing has come for the longest time between two lines and half of that; a call
+// that is not answered is given up.
+func TestFollowerFindsSilence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := NewFollower(now, time.Second)
+	if err := f.Due(now.Add(time.Second)); !errors.Is(err, errLate) {
+		t.Errorf("not answered: %v", err)
+	}
+	f = NewFollower(now, time.Second)
+	f.Answered(now, 200)
+	for _, line := range []string{"\n", "{\"generation\":\n", "43,\"instances\":[]}", "\n"} {
+		now = now.Add(asking.Silence - time.Millisecond)
+		if err := f.Due(now); err != nil {
+			t.Fatalf("before %q: %v", line, err)
+		}
+		if _, err := f.Received(now, []byte(line)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.Due(now.Add(asking.Silence)); !errors.Is(err, errSilent) {
+		t.Errorf("after a silence: %v", err)
+	}
+}
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -447,8 +447,8 @@
 	n.conns, n.pools = nil, nil
 }
 
-// deafFor is longer than a node may be without a word of discovery: one that fell silent is found after 5 s, and asked anew
-// within a second or two.
+// deafFor is longer than a node may be without a word of discovery: one that fell silent is found after 3 s, and asked anew
+// within the longest wait after a call that failed.
 const deafFor = 9 * time.Second
 
 // leaks looks at what a process still holds when all is long over.
--- a/internal/lab/sim/plan.go
+++ b/internal/lab/sim/plan.go
@@ -63,11 +63,11 @@
 	return d
 }
 
-// toldWithin is when what discovery has to tell counts as told, whether it was or not. While discovery is down a node may wait
-// for longer before it asks again than a run lasts.
+// toldWithin is when what discovery has to tell counts as told, whether it was or not, once it can be reached. One that gives
+// empty lists tells nothing.
 func (p *Plan) toldWithin() time.Duration {
 	for _, f := range p.Spec.Faults {
-		if f.Kind == model.RosterDown || f.Kind == model.RosterEmpty {
+		if f.Kind == model.RosterEmpty {
 			return 0
 		}
 	}
--- a/internal/lab/sim/servers.go
+++ b/internal/lab/sim/servers.go
@@ -12,6 +12,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"shelfproxy/internal/asking"
 	"shelfproxy/internal/discovery"
 	"shelfproxy/internal/lab/model"
 	"shelfproxy/internal/lab/rules"
@@ -322,7 +323,7 @@
 func (s source) Watch(after int64, report func(discovery.List, error)) (stop func()) {
 	w := s.n.w
 	w.lastAsk++
-	c := &call{w: w, id: w.lastAsk, n: s.n, life: s.life, report: report, follower: discovery.NewFollower(s.n.now())}
+	c := &call{w: w, id: w.lastAsk, n: s.n, life: s.life, report: report, follower: discovery.NewFollower(s.n.now(), asking.CallWithin)}
 	c.near, c.end = w.pipe(w.plan.Net.Discovery, w.plan.Net.Discovery)
 	c.near.data = c.received
 	c.near.ended = func(reset bool) {
@@ -330,8 +331,7 @@
 		if reset {
 			broke = errReset
 		}
-		lists, err := c.follower.Ended(s.n.now(), broke)
-		c.take(lists, err)
+		c.take(nil, c.follower.Ended(broke))
 	}
 	w.calls[c.id] = c
 	w.after(w.between(100*time.Microsecond, time.Millisecond), func() {
