--- a/brain/brain.go
+++ b/brain/brain.go
@@ -203,10 +203,13 @@
 	over := r.heat(q.Key) / hotShare
 	part := r.one / float64(1+int(over))
 	for tried := 0; s != nil; s, at = r.next(slot, at, q) {
-		s.asked += part
-		if !r.mayTake(s, q, part) {
+		if r.warmth(s) < 1 { // its lot alone decides: with little out it would always be the least busy
+			if s.asked += r.one; r.mayTake(s, q) {
+				return s
+			}
 			continue
 		}
+		s.asked += part
 		tried++
 		if best == nil || len(s.gauge.out) < len(best.gauge.out) ||
 			len(s.gauge.out) == len(best.gauge.out) && r.rng.IntN(tried) == 0 {
@@ -222,13 +225,10 @@
 // mayTake keeps a cold server from being pushed over by a hot key or a surge, by all together. It gets
 // a safe part of what one of its size answers here, and grows at half the pace for a router with few timings.
 // Lots are drawn, by what all know of the key; one not met may just now begin to come everywhere.
-func (r *Router) mayTake(s *server, q *request, part float64) bool {
+func (r *Router) mayTake(s *server, q *request) bool {
 	warmth := r.warmth(s)
-	if warmth == 1 {
-		return true
-	}
-	mean := (r.served/r.takers + servedPrior*r.one) * r.size(s)
-	asked := max(s.asked-part, r.heat(q.Key)*part*(r.all/r.one/r.takers+servedPrior)) + warmth*mean
+	mean := (r.served + servedPrior*r.one) * r.size(s)
+	asked := max(s.asked-r.one, r.heat(q.Key)*(r.all/r.takers+servedPrior*r.one)) + warmth*mean
 	late := (warmth - r.set.ColdFrom) / 2 * (1 - min(1, enough/float64(r.set.Routers)))
 	safe, lot := coldBudget*r.set.FallFactor*(warmth-late)*mean, r.rng.Float64()
 	if !r.keys.Met(gossip.MarkOf(hash(q.Key))) && safe < r.one {
@@ -501,7 +501,7 @@
 			if r.quickest += r.quickest / creep; r.quickest == 0 || e.Took < r.quickest {
 				r.quickest = e.Took
 			}
-			r.served += r.one
+			r.served += r.one / max(1, r.takers)
 			if s.doubt == 1 { // so many hits and no miss: its memory is whole, it was only cut off
 				s.cold = s.before
 			}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -979,7 +979,7 @@
 	cold.asked = 0
 	for range 100 {
 		cold.asked++
-		if b.r.mayTake(cold, &request{Request: Request{Key: "k1"}}, 1) {
+		if b.r.mayTake(cold, &request{Request: Request{Key: "k1"}}) {
 			taken++
 		}
 	}
--- a/brain/gossip_test.go
+++ b/brain/gossip_test.go
@@ -449,7 +449,7 @@
 	cold := b.r.byID["s20"]
 	taken := func(key string) (n int) {
 		for range 1000 {
-			if cold.asked = 0; b.r.mayTake(cold, &request{Request: Request{Key: key}}, b.r.one) {
+			if cold.asked = 0; b.r.mayTake(cold, &request{Request: Request{Key: key}}) {
 				n++
 			}
 		}
--- a/brain/list_test.go
+++ b/brain/list_test.go
@@ -1,6 +1,7 @@
 package brain
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -101,3 +102,35 @@
 		}
 	}
 }
+
+// TestColdServersPartWhenOthersLeave: what one server answers is judged by how many there were as it did. Half of them go: a cold one
+// bears no more than it did a moment before.
+func TestColdServersPartWhenOthersLeave(t *testing.T) {
+	set := testSettings()
+	b := newBench(t, set, names(8)...)
+	for i := range 400 {
+		b.now += 5 * ms
+		id, _ := b.ask("high", "k"+strconv.Itoa(i), nil)
+		b.end(id, OK, 10*ms)
+	}
+	b.do(List{Scope: Changes, Servers: []Server{{ID: "s1", Kind: "cache", Zone: "a", Units: 1, Started: b.now}}})
+	taken := func() (n int) {
+		cold := b.r.byID["s1"]
+		for range 4000 {
+			cold.asked = 30 * b.r.one
+			if b.r.mayTake(cold, &request{Request: Request{Key: "k1"}}) {
+				n++
+			}
+		}
+		return n
+	}
+	before := taken()
+	var gone []Server
+	for _, id := range names(8)[4:] {
+		gone = append(gone, Server{ID: id, Kind: "cache", Zone: "a", Units: 1, State: Dead})
+	}
+	b.do(List{Scope: Changes, Servers: gone})
+	if after := taken(); before == 0 || after > before*5/4 {
+		t.Errorf("of 4000 lots it had %d, and %d once half of the others had left", before, after)
+	}
+}
--- a/brain/router.go
+++ b/brain/router.go
@@ -124,7 +124,7 @@
 	units      float64                      // their mean size
 	keys       tally.Keys                   // requests by key, of this router and samples of the others'
 	all, one   float64                      // requests of this router, and what one counts now; see count
-	served     float64                      // answers of cache servers, counted like all
+	served     float64                      // answers of a cache server, counted like all: each is one of all that took keys then
 	allAt      Time
 	quickest   time.Duration // answers of cache servers of late; 0 before the first
 	byMark     map[gossip.Mark]*server
--- a/internal/lab/emulate/configs.go
+++ b/internal/lab/emulate/configs.go
@@ -37,13 +37,13 @@
 	return out, nil
 }
 
-// listenAddr finds a port that is free now for a node to listen at.
+// listenAddr finds an address that is free for a node to listen at: one that nobody dials from, or, with a base port, that port.
 func (e *Emulator) listenAddr(node int) (string, error) {
-	port := 0
+	port, host := 0, fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
 	if e.opt.BasePort > 0 {
-		port = e.opt.BasePort + node
+		port, host = e.opt.BasePort+node, "127.0.0.1"
 	}
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
 	if err != nil {
 		if port != 0 {
 			return "", &PortTakenError{port}
@@ -58,7 +58,13 @@
 // restart.
 func (e *Emulator) WriteConfig(c NodeConfig) error {
 	var known json.RawMessage
-	if !e.Do(func(_ time.Duration, p *model.Portal, _ *rules.Checker) { known = e.wire(p.List(), c.Number) }) {
+	if !e.Do(func(_ time.Duration, p *model.Portal, check *rules.Checker) {
+		l := p.List()
+		for _, s := range l.Entries {
+			check.Knows(c.Number, s.ID, s.Started)
+		}
+		known = e.wire(l, c.Number)
+	}) {
 		return fmt.Errorf("the emulator has ended")
 	}
 	text, err := json.MarshalIndent(e.config(c, known), "", " ")
--- a/internal/lab/emulate/discovery.go
+++ b/internal/lab/emulate/discovery.go
@@ -121,6 +121,7 @@
 		states := map[string]string{}
 		for _, s := range t.List.Entries {
 			states[s.ID] = s.State.String()
+			e.check.Knows(c.node, s.ID, s.Started)
 		}
 		e.check.Told(now, c.node, t.List.Whole, states)
 	}
--- a/internal/lab/emulate/emulate.go
+++ b/internal/lab/emulate/emulate.go
@@ -253,6 +253,8 @@
 			e.check.Ran(now, ef.Server, ef.Request, ef.Class)
 		case model.Fell:
 			e.check.Fell(now, ef.Server)
+		case model.Began:
+			e.check.Began(ef.Server, ef.At)
 		case model.Listed:
 			e.check.Listed(now, ef.Server, ef.State.String())
 		case model.Reachable:
--- a/internal/lab/model/box.go
+++ b/internal/lab/model/box.go
@@ -195,7 +195,7 @@
 }
 
 // overloaded takes it that work was sent to a cold box and tells whether it falls over: within FallAfter it got more than FallFactor
-// times what it can do, which is N requests of mean work, and as few requests come unevenly 3 roots of N and 3 more.
+// times what it can do, which is N requests of mean work, and as few requests come unevenly 2 roots of N and 2 more.
 func (b *box) overloaded(now Time, work float64) bool {
 	if b.warm || b.kind.FallFactor <= 0 || b.fallen {
 		return false
@@ -209,7 +209,7 @@
 		sum += c.work
 	}
 	mean, most := sum/float64(len(b.sent)), b.kind.FallFactor*b.capacity(now)*b.kind.FallAfter.Seconds()
-	return mean > 0 && sum > most+mean*(3*math.Sqrt(most/mean)+3)
+	return mean > 0 && sum > most+mean*(2*math.Sqrt(most/mean)+2)
 }
 
 // charge is work that was sent to a cold box.
--- a/internal/lab/model/portal.go
+++ b/internal/lab/model/portal.go
@@ -128,6 +128,11 @@
 	}
 	// Fell says that a cold box was pushed over.
 	Fell struct{ Server string }
+	// Began says that the process of a cold box started, for the rules. At is what the list will say of it.
+	Began struct {
+		Server string
+		At     Time
+	}
 	// Listed says that discovery has something new to tell of a server, for the rules.
 	Listed struct {
 		Server string
@@ -143,6 +148,7 @@
 func (Told) effect()   {}
 func (Ran) effect()    {}
 func (Fell) effect()   {}
+func (Began) effect()  {}
 
 func (Listed) effect()    {}
 func (Reachable) effect() {}
@@ -378,6 +384,7 @@
 		box: newBox(kind, speed, p.now, cold, Stream(p.spec.Seed, "box/"+id))}
 	if cold {
 		s.started = max(p.now, 1)
+		p.emit(Began{id, s.started})
 	}
 	return p.add(s)
 }
@@ -426,6 +433,7 @@
 		} else {
 			p.note("started", s.id)
 			s.started = max(p.now, 1)
+			p.emit(Began{s.id, s.started})
 		}
 		if s.box != nil {
 			s.box.restart(p.now, true)
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -95,9 +95,10 @@
 	requests map[string]*request
 	order    []*request // in the order in which they were first seen
 	nodes    map[int]*view
-	listed   map[string]told // servers that discovery says take nothing new
-	pushed   map[string]push // by server: what came
-	down     bool            // discovery does not answer
+	listed   map[string]told                  // servers that discovery says take nothing new
+	pushed   map[string]push                  // by server: what came
+	starts   map[int]map[string]time.Duration // of servers, by id, as a node knows them
+	down     bool                             // discovery does not answer
 	upSince  time.Duration
 	broken   []Violation
 	counts   Counts
@@ -147,7 +148,7 @@
 
 // New makes a checker.
 func New(classes []Class, f Figures) *Checker {
-	c := &Checker{classes: map[string]Class{}, figures: f, requests: map[string]*request{}, nodes: map[int]*view{}, listed: map[string]told{}, pushed: map[string]push{}}
+	c := &Checker{classes: map[string]Class{}, figures: f, requests: map[string]*request{}, nodes: map[int]*view{}, listed: map[string]told{}, pushed: map[string]push{}, starts: map[int]map[string]time.Duration{}}
 	for _, cl := range classes {
 		c.classes[cl.Name] = cl
 	}
@@ -258,7 +259,7 @@
 	r := c.of(now, id, class)
 	r.note(now, "attempt at %s", server)
 	p := c.pushed[server]
-	if p.all++; c.unaware(node, server) {
+	if p.all++; c.starts[node][server] < p.began {
 		p.unaware++
 	}
 	c.pushed[server] = p
@@ -385,20 +386,26 @@
 }
 
 // Restarted says that a node started anew: it knows the list as its configuration has it.
-func (c *Checker) Restarted(node int) { delete(c.nodes, node) }
+func (c *Checker) Restarted(node int) {
+	delete(c.nodes, node)
+	delete(c.starts, node)
+}
 
-// push counts what came to a server, and what of it from nodes that were not told of its start.
-type push struct{ all, unaware int }
+// push counts what came to a server since its process started, and what of it from nodes that were not told of that.
+type push struct {
+	began        time.Duration // as the list says it
+	all, unaware int
+}
 
-// unaware tells whether a node was told of other servers since its start and not of this one. What it knew at its start is not told
-// here, so a node that has heard nothing yet counts as aware.
-func (c *Checker) unaware(node int, server string) bool {
-	v := c.nodes[node]
-	if v == nil {
-		return false
+// Began says that the process of a cold server started; at is what the list says of it.
+func (c *Checker) Began(server string, at time.Duration) { c.pushed[server] = push{began: at} }
+
+// Knows says that a node has a list, its configuration's or one that discovery wrote to it, which gives the start of a server.
+func (c *Checker) Knows(node int, server string, began time.Duration) {
+	if c.starts[node] == nil {
+		c.starts[node] = map[string]time.Duration{}
 	}
-	_, known := v.known[server]
-	return !known && len(v.known) > 0
+	c.starts[node][server] = began
 }
 
 // Fell says that a cold box was pushed over. That is nobody's fault where a third or more of what came to it came from nodes that
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -102,15 +102,31 @@
 		}, ""},
 		"pushed over": {func(c *Checker) { sent(c, 0, "b", "read", 1); c.Fell(s, "b") }, PushedOver},
 		"pushed over by nodes that were told": {func(c *Checker) {
-			c.Told(0, 0, false, map[string]string{"b": "up"})
+			c.Began("b", 1)
+			c.Knows(0, "b", 1)
 			sent(c, 0, "b", "read", 1)
 			c.Fell(s, "b")
 		}, PushedOver},
 		"pushed over by nodes that were told of others": {func(c *Checker) {
-			c.Told(0, 0, false, map[string]string{"a": "up"})
+			c.Began("b", 1)
+			c.Knows(0, "a", 1)
 			sent(c, 0, "b", "read", 1)
 			c.Fell(s, "b")
 		}, ""},
+		"pushed over by nodes that know the process before": {func(c *Checker) {
+			c.Knows(0, "b", 0)
+			sent(c, 0, "b", "read", 1)
+			c.Began("b", 1)
+			sent(c, 0, "b", "read", 2)
+			c.Fell(s, "b")
+		}, ""},
+		"pushed over by a node that was told, and started anew": {func(c *Checker) {
+			c.Began("b", 1)
+			c.Restarted(0)
+			c.Knows(0, "b", 1) // by its configuration
+			sent(c, 0, "b", "read", 1)
+			c.Fell(s, "b")
+		}, PushedOver},
 	} {
 		c := New([]Class{{"read", Safe, 0}, {"sign", Keyed, 4 * s}, {"cert", Unsafe, 0}}, Figures{2500 * time.Millisecond, 6 * s, 50 * time.Millisecond})
 		test.see(c)
--- a/internal/lab/sim/clients.go
+++ b/internal/lab/sim/clients.go
@@ -368,6 +368,9 @@
 	if c.w.plan.Tight { // cold boxes bear less than their part for longer than a run
 		may = 1 + n/6
 	}
+	if c.w.plan.Many { // each node meets a server every few seconds, and learns as slowly that it is well again
+		may = 1 + n/3
+	}
 	if bad > may {
 		c.w.broken(Liveness, "%d of %d requests after %.1f s were not served, the first %s", bad, n, c.w.plan.Well.Seconds(), first)
 	}
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -85,6 +85,9 @@
 	n.pools, n.conns = nil, nil
 	w.note("start", strconv.Itoa(n.index))
 	w.check.Restarted(n.index)
+	for _, e := range w.portal.List().Entries { // its configuration's
+		w.check.Knows(n.index, e.ID, e.Started)
+	}
 	var names []string
 	for _, c := range p.Class {
 		names = append(names, c.Name)
@@ -378,6 +381,7 @@
 	Node int
 	At   Time
 	Away time.Duration // until the next process
+	More int           // nodes after this one, which it happens to as well
 }
 
 // Times of an ending process, as cmd/shelfproxy has them by default; its last moments are not the cores' affair.
--- a/internal/lab/sim/plan.go
+++ b/internal/lab/sim/plan.go
@@ -46,6 +46,8 @@
 	Rude       []Time // when a client comes that makes no sense
 	Probes     bool
 	Tight      bool // boxes have next to nothing to spare
+	Many       bool // nodes, each with little of the traffic
+	Mute       bool // nodes tell each other nothing
 	Agree      bool // duties and membership run beside the requests
 	Well       Time // from when on all is served again
 	End        Time
@@ -77,7 +79,7 @@
 // Module is what the decision module of a node is told.
 func (p *Plan) Module(node int) brain.Settings {
 	set := brain.Settings{Routers: len(p.Spec.Nodes), Zone: p.Spec.Nodes[node].Zone, OriginKind: model.OriginID, MustAsk: true,
-		MustAskIn: 10 * time.Second, DrainGrace: p.Rules.DrainWithin.D(), Probes: p.Probes, Peers: true, Cancels: p.Nodes.Cancel,
+		MustAskIn: 10 * time.Second, DrainGrace: p.Rules.DrainWithin.D(), Probes: p.Probes, Peers: !p.Mute, Cancels: p.Nodes.Cancel,
 		LeaveOwner: zones.DefaultLeave, MaxAttempts: p.Nodes.MaxAttempts, MaxRetryAfter: p.Nodes.RetryAfter.D(), Tick: 5 * time.Millisecond,
 		ColdFrom: 1, FallFactor: p.Rules.FallFactor}
 	for _, b := range p.Spec.Boxes {
@@ -128,7 +130,7 @@
 
 func nodeFault(kind NodeFaultKind, odds float64) part {
 	return part{kind.String(), odds, func(r *rand.Rand, _ *scenario.Scenario, p *Plan, at func() scenario.Span) {
-		p.NodeFaults = append(p.NodeFaults, NodeFault{kind, r.IntN(2), at().Least, time.Duration(100+r.IntN(900)) * time.Millisecond})
+		p.NodeFaults = append(p.NodeFaults, NodeFault{Kind: kind, Node: r.IntN(2), At: at().Least, Away: time.Duration(100+r.IntN(900)) * time.Millisecond})
 	}}
 }
 
@@ -209,19 +211,30 @@
 	{"long-values", 0.15, func(r *rand.Rand, s *scenario.Scenario, _ *Plan, _ func() scenario.Span) {
 		s.Origin.ValueBytes = 40_000 + r.IntN(260_000)
 	}},
-	{"tight", 0.3, func(r *rand.Rand, s *scenario.Scenario, p *Plan, _ func() scenario.Span) {
-		p.Tight = true
-		for i := range s.Kind { // a cold box bears less than its part of the load
-			s.Kind[i].Cores, s.Kind[i].Speed, s.Kind[i].ColdFrom = 1, scenario.Range{Least: 1, Most: 1}, scenario.Range{Least: 0.13, Most: 0.13}
-			s.Kind[i].SlotsPerCore, s.Kind[i].WarmAfter = scenario.Range{Least: 8, Most: 24}, scenario.Span{Least: 6 * time.Second, Most: 7 * time.Second}
-		}
-		s.Class[0].Work = scenario.Span{Least: 25 * time.Millisecond, Most: 50 * time.Millisecond}
-		s.Load.Rate, s.Keys.Count = scenario.Range{Least: 70, Most: 90}, scenario.Range{Least: 30, Most: 60}
-		s.Rules.FallFactor, s.Rules.FallAfter = 2, d(700*time.Millisecond)
-		s.Load.Heat = []scenario.Heat{{Share: scenario.Range{Least: 0.3, Most: 0.7}, Keys: 1 + r.IntN(2),
-			At: scenario.Span{Least: 500 * time.Millisecond, Most: 3 * time.Second}, For: scenario.Span{Least: 3 * time.Second, Most: 5 * time.Second}}}
-	}},
+	{"tight", 0.3, func(r *rand.Rand, s *scenario.Scenario, p *Plan, _ func() scenario.Span) { tight(r, s, p) }},
 	{"streams-1", 0.2, func(_ *rand.Rand, s *scenario.Scenario, _ *Plan, _ func() scenario.Span) { s.Nodes.Streams = 1 }},
+	{"many-nodes", 0.06, func(r *rand.Rand, s *scenario.Scenario, p *Plan, at func() scenario.Span) {
+		tight(r, s, p) // each node's part of what a cold box bears is under one request
+		s.Nodes.Count, s.Load.Rate = scenario.Range{Least: 20, Most: 30}, scenario.Range{Least: 30, Most: 40}
+		p.Many = true
+		// Those that start again have forgotten what they sent.
+		p.NodeFaults = append(p.NodeFaults, NodeFault{KillNode, r.IntN(10), at().Least, 100 * time.Millisecond, r.IntN(10)})
+	}},
+	{"no-messages", 0.1, func(_ *rand.Rand, _ *scenario.Scenario, p *Plan, _ func() scenario.Span) { p.Mute = true }},
+}
+
+// tight has a cold box bear less than its part of the load, of which much goes to one key or two.
+func tight(r *rand.Rand, s *scenario.Scenario, p *Plan) {
+	p.Tight = true
+	for i := range s.Kind {
+		s.Kind[i].Cores, s.Kind[i].Speed, s.Kind[i].ColdFrom = 1, scenario.Range{Least: 1, Most: 1}, scenario.Range{Least: 0.13, Most: 0.13}
+		s.Kind[i].SlotsPerCore, s.Kind[i].WarmAfter = scenario.Range{Least: 8, Most: 24}, scenario.Span{Least: 6 * time.Second, Most: 7 * time.Second}
+	}
+	s.Class[0].Work = scenario.Span{Least: 25 * time.Millisecond, Most: 50 * time.Millisecond}
+	s.Load.Rate, s.Keys.Count = scenario.Range{Least: 70, Most: 90}, scenario.Range{Least: 30, Most: 60}
+	s.Rules.FallFactor, s.Rules.FallAfter = 2, d(700*time.Millisecond)
+	s.Load.Heat = []scenario.Heat{{Share: scenario.Range{Least: 0.3, Most: 0.7}, Keys: 1 + r.IntN(2),
+		At: scenario.Span{Least: 500 * time.Millisecond, Most: 3 * time.Second}, For: scenario.Span{Least: 3 * time.Second, Most: 5 * time.Second}}}
 }
 
 // base is the portal without anything switched on: small, and quick enough that thousands of runs take minutes.
--- a/internal/lab/sim/servers.go
+++ b/internal/lab/sim/servers.go
@@ -447,6 +447,7 @@
 			states := map[string]string{}
 			for _, s := range l.Entries {
 				states[s.ID] = s.State.String()
+				w.check.Knows(c.n.index, s.ID, s.Started)
 			}
 			w.check.Told(w.now, c.n.index, l.Whole, states)
 		})
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -135,7 +135,9 @@
 	w.clients = newClients(w)
 	w.clients.start()
 	for _, f := range plan.NodeFaults {
-		w.at(f.At, func() { w.nodes[f.Node].suffer(f) })
+		for i := range 1 + f.More {
+			w.at(f.At, func() { w.nodes[f.Node+i].suffer(f) })
+		}
 	}
 	w.run()
 	w.quiet()
@@ -217,6 +219,8 @@
 			w.check.Ran(w.now, e.Server, e.Request, e.Class)
 		case model.Fell:
 			w.check.Fell(w.now, e.Server)
+		case model.Began:
+			w.check.Began(e.Server, e.At)
 		case model.Listed:
 			w.check.Listed(w.now, e.Server, e.State.String())
 		case model.Reachable:
--- a/internal/node/core_test.go
+++ b/internal/node/core_test.go
@@ -215,3 +215,37 @@
 		t.Errorf("%d answers", b.replies)
 	}
 }
+
+// TestSuccessorAtAnAddress: the list names a server that started at the address of another, which it still calls up, or names anew.
+// Nothing more is meant for the one before, whatever the order; where both started long ago, nothing follows.
+func TestSuccessorAtAnAddress(t *testing.T) {
+	old := discovery.Server{ID: "s", Addr: "h:1", Kind: "box", Weight: 1}
+	next := discovery.Server{ID: "t", Addr: "h:1", Kind: "box", Weight: 1, StartedMs: 7}
+	elsewhere := discovery.Server{ID: "t", Addr: "h:9", Kind: "box", Weight: 1, StartedMs: 7}
+	twin := discovery.Server{ID: "t", Addr: "h:1", Kind: "box", Weight: 1}
+	for name, test := range map[string]struct {
+		lists []discovery.List
+		left  bool
+	}{
+		"a change":                  {[]discovery.List{{Servers: []discovery.Server{next}}}, true},
+		"a whole list with both":    {[]discovery.List{{Whole: true, Servers: []discovery.Server{next, old}}}, true},
+		"the one before named last": {[]discovery.List{{Servers: []discovery.Server{next}}, {Servers: []discovery.Server{old}}}, true},
+		"at another address":        {[]discovery.List{{Servers: []discovery.Server{elsewhere}}}, false},
+		"both long ago":             {[]discovery.List{{Servers: []discovery.Server{twin}}}, false},
+	} {
+		b := newBench(t)
+		for _, l := range test.lists {
+			scope := brain.Changes
+			if l.Whole {
+				scope = brain.Full
+			}
+			b.core.list(l, scope)
+		}
+		if left := b.core.servers["s"] == nil || b.core.servers["s"].State == discovery.Removed; left != test.left {
+			t.Errorf("%s: the one before has left: %v", name, left)
+		}
+		if s := b.core.servers["t"]; s == nil || s.State != discovery.Up {
+			t.Errorf("%s: the successor is not there", name)
+		}
+	}
+}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -20,6 +20,7 @@
 func (n *Core) list(l discovery.List, scope brain.ListScope) {
 	event := brain.List{Scope: scope}
 	named := map[string]bool{}
+	l.Servers = n.succeeded(l)
 	for _, d := range l.Servers {
 		named[d.ID] = true
 		event.Servers = append(event.Servers, brain.Server{ID: d.ID, Zone: d.Zone, Kind: d.Kind, Cell: d.Cell,
@@ -54,6 +55,37 @@
 	n.tell(event)
 }
 
+// succeeded is the entries of a list, and those of servers whose place another one has taken: a process that started later at the
+// same address. What is meant for the one that was there before would come to its successor, which is cold, as work that was
+// never counted as its own; and the list names the end of the one and the start of the other in any order.
+func (n *Core) succeeded(l discovery.List) []discovery.Server {
+	all := slices.Clone(l.Servers)
+	newest := map[string]discovery.Server{} // by address
+	named := map[string]bool{}
+	for _, s := range l.Servers {
+		named[s.ID] = true
+		if s.State != discovery.Removed && s.StartedMs >= newest[s.Addr].StartedMs {
+			newest[s.Addr] = s
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(n.servers)) {
+		if s := n.servers[id]; !named[id] && !l.Whole && s.State != discovery.Removed {
+			if s.StartedMs > newest[s.Addr].StartedMs {
+				newest[s.Addr] = s.Server
+			}
+			all = append(all, s.Server)
+		}
+	}
+	for i, s := range all {
+		if o := newest[s.Addr]; s.State == discovery.Up && o.StartedMs > s.StartedMs {
+			all[i].State = discovery.Removed
+		}
+	}
+	return slices.DeleteFunc(all, func(s discovery.Server) bool {
+		return !named[s.ID] && s.State != discovery.Removed // no news
+	})
+}
+
 // leave updates a server's pool.
 func (n *Core) leave(s *server, addr string, left bool) {
 	for _, f := range s.up.Update(addr, left) {
