Write a repeat of a keyed request within its window or not at all

Cause, by reading: brain.mayRepeat judges the window as it decides (r.now <= q.risk.at + Window - 2 ticks), and the pool writes the repeat when a connection is up, up to the connect timeout later, or when a full socket takes it: past the window servers no longer drop it, and it runs twice. The shorter the window of the settings, the likelier.

Change: a Send says until when it may be written (By, brain.repeatBy, from the same sum), forward.Core.Pull looks at it as it hands the bytes out, as for clients that have gone, and what has not left of it by then is given up; it ends as not_sent.

Tests: TestRepeatsSayUntilWhen, TestRepeatIsWrittenInItsTime; each failed with its line changed. The example prints the new field.

--- a/brain/api.go
+++ b/brain/api.go
@@ -253,6 +253,7 @@
 type Send struct {
 	ID     uint64
 	Server string
+	By     Time // it has to be written by then, or not at all; 0 is no bound but the deadline
 }
 
 // Refuse is a final answer: the request was turned away and a new try does no harm.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -425,7 +425,7 @@
 	q.attempts = append(q.attempts, a)
 	q.open++
 	s.gauge.out = append(s.gauge.out, a)
-	r.act(Send{ID: q.ID, Server: s.ID})
+	r.act(Send{ID: q.ID, Server: s.ID, By: r.repeatBy(q)})
 }
 
 // mayRepeat keeps the rule that no effect happens twice.
@@ -434,8 +434,7 @@
 		return true
 	}
 	near := s.Zone == q.risk.srv.Zone && (q.class.Group == SameZone || s.Cell == q.risk.srv.Cell)
-	return q.class.Effect == Keyed && (near || q.class.Group == AllServers) &&
-		r.now <= q.risk.at+q.class.Window-2*r.set.Tick
+	return q.class.Effect == Keyed && (near || q.class.Group == AllServers) && r.now <= r.repeatBy(q)
 }
 
 // refuse turns a request away where the rules allow to promise that a new try does no harm.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -257,7 +257,7 @@
 	if len(find[Send](actions)) > 0 {
 		t.Fatal("a read of a key being fetched did not wait")
 	}
-	want := []Send{{second, cache}, {third, cache}}
+	want := []Send{{ID: second, Server: cache}, {ID: third, Server: cache}}
 	if got := find[Send](b.end(leader, OK, 50*ms)); !slices.Equal(got, want) {
 		t.Errorf("after the fetch landed %v, want %v", got, want)
 	}
--- a/brain/example_test.go
+++ b/brain/example_test.go
@@ -36,8 +36,8 @@
 	show(now, brain.List{Scope: brain.Full})
 	show(now, brain.Request{ID: 3, Key: "item/3", Class: "read", Deadline: now + time.Second})
 	// Output:
-	// brain.Send {ID:1 Server:cache-1}
-	// brain.Send {ID:2 Server:cache-1}
-	// brain.Send {ID:2 Server:ledger}
+	// brain.Send {ID:1 Server:cache-1 By:0s}
+	// brain.Send {ID:2 Server:cache-1 By:0s}
+	// brain.Send {ID:2 Server:ledger By:0s}
 	// brain.Refuse {ID:3 RetryAfter:1s}
 }
--- a/brain/list_test.go
+++ b/brain/list_test.go
@@ -134,3 +134,34 @@
 		t.Errorf("of 4000 lots it had %d, and %d once half of the others had left", before, after)
 	}
 }
+
+// TestRepeatsSayUntilWhen: another attempt of a keyed request that may have run says until when it may be written, counted from the
+// first one; a first attempt, one after others that never ran, and one of a class without effects say nothing.
+func TestRepeatsSayUntilWhen(t *testing.T) {
+	for name, test := range map[string]struct {
+		class string
+		first Reason
+		bound bool
+	}{"keyed, reset": {"keyed", Reset, true}, "keyed, never ran": {"keyed", NoConnection, false}, "a read": {"high", Reset, false}} {
+		set := testSettings()
+		b := newBench(t, set, "s1", "s2")
+		began := b.now
+		id, actions := b.ask(test.class, "k", nil)
+		if sends := find[Send](actions); len(sends) != 1 || sends[0].By != 0 {
+			t.Fatalf("%s: %v first", name, sends)
+		}
+		b.now += 100 * ms
+		sends := find[Send](b.end(id, test.first, 100*ms))
+		for n := 0; len(sends) == 0 && n < 100; n++ {
+			b.now += 5 * ms
+			sends = find[Send](b.do(Timer{Token: id}))
+		}
+		want := Time(0)
+		if test.bound {
+			want = began + 800*ms - 2*set.Tick
+		}
+		if len(sends) != 1 || sends[0].By != want {
+			t.Errorf("%s: %v again, want it by %v", name, sends, want)
+		}
+	}
+}
--- a/brain/router.go
+++ b/brain/router.go
@@ -281,6 +281,15 @@
 	}
 }
 
+// repeatBy is until when another attempt of a keyed request that may have run is dropped as a repeat; 0 is no bound. It has to be
+// written by then.
+func (r *Router) repeatBy(q *request) Time {
+	if q.risk == nil || q.class.Effect != Keyed {
+		return 0
+	}
+	return q.risk.at + q.class.Window - 2*r.set.Tick
+}
+
 // jitter is full jitter: any moment up to a wait, so that routers which had the same news do not act on it together.
 func (r *Router) jitter(wait time.Duration) time.Duration {
 	return time.Duration(r.rng.Int64N(int64(max(wait, 1))))
--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -16,7 +16,8 @@
 	Server   string
 	Sent     time.Time // when the node handed it to the pool
 	Deadline time.Time
-	Fresh    bool // wants a connection of its own: on a kept one that is closed just then it may have run
+	By       time.Time // it is written by then or not at all; zero is no bound
+	Fresh    bool      // wants a connection of its own: on a kept one that is closed just then it may have run
 
 	// The core's.
 	conn    *Conn
@@ -27,6 +28,20 @@
 	given   bool      // given up: its answer is read and dropped
 }
 
+// tooLate tells whether it must not be written any more: its client has gone, of which the node has not heard yet, or it waited for
+// longer than a repeat may.
+func (f *Forward) tooLate(now time.Time) bool {
+	return f.Flow != nil && f.Flow.Cancelled() || !f.By.IsZero() && now.After(f.By)
+}
+
+// writeBy is when what has not left of it is given up.
+func (f *Forward) writeBy() time.Time {
+	if !f.By.IsZero() && f.By.Before(f.Deadline) {
+		return f.By
+	}
+	return f.Deadline
+}
+
 // Answer is what a server sent for a forward.
 type Answer struct {
 	End   End
@@ -508,7 +523,7 @@
 
 // Pull is the next forward to write to a connection, of which the shell writes the bytes and then says Wrote; nil where
 // there is none. From here on it may have run. The list is looked at for the last time here, and whether the client is still
-// there: one that nobody waits for ends as NotSent. stale says that a connection on which nothing is awaited has bytes to read or
+// there and a repeat in its time: one that is not ends as NotSent. stale says that a connection on which nothing is awaited has bytes to read or
 // has ended: an answer to a request written now could not be told from such bytes, and a request written to a closed connection
 // is lost.
 func (p *Core) Pull(now time.Time, c *Conn, stale bool, fx *Effects) *Forward {
@@ -520,7 +535,7 @@
 		return nil
 	}
 	f := c.queue[0]
-	for f.Flow != nil && f.Flow.Cancelled() { // the node has not heard of it yet, or it would have been withdrawn
+	for f.tooLate(now) {
 		p.unqueue(now, f, fx)
 		fx.report(f, Answer{End: NotSent})
 		if c.closed || len(c.queue) == 0 {
--- a/internal/forward/gone_test.go
+++ b/internal/forward/gone_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -69,3 +70,42 @@
 		t.Error("it is taken back")
 	}
 }
+
+// TestRepeatIsWrittenInItsTime: a connection comes up after the time in which servers drop a repeat: it is not written, as it would
+// run again, and the next forward is. Up to then it is.
+func TestRepeatIsWrittenInItsTime(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for late, want := range map[time.Duration]bool{0: true, time.Nanosecond: false} {
+		p := NewCore("s", line{}, Limits{Connect: time.Second, Idle: time.Minute, Streams: 1, Conns: 1, Waiting: 4}, NewBudget(4))
+		repeat := &Forward{Flow: &flow.Flow{}, Sent: start, Deadline: start.Add(time.Hour), By: start.Add(400 * time.Millisecond)}
+		next := &Forward{Flow: &flow.Flow{}, Sent: start, Deadline: start.Add(time.Hour)}
+		if repeat.writeBy() != repeat.By || next.writeBy() != next.Deadline {
+			t.Error("what has not left is given up at another time")
+		}
+		var fx Effects
+		p.Send(start, repeat, &fx)
+		c := fx[0].Conn
+		p.Send(start, next, &fx)
+		now := repeat.By.Add(late)
+		p.Dialed(now, c, true, &fx)
+		fx = nil
+		f := p.Pull(now, c, false, &fx)
+		if written := f == repeat; written != want {
+			t.Errorf("%v late: written %v", late, written)
+		}
+		if want {
+			continue
+		}
+		if f == nil {
+			f = p.Pull(now, c, false, &fx)
+		}
+		if !slices.ContainsFunc(fx, func(e Effect) bool {
+			return e.Kind == Report && e.Forward == repeat && e.Answer.End == NotSent
+		}) {
+			t.Errorf("%v late: it is not reported: %+v", late, fx)
+		}
+		if f != next {
+			t.Errorf("%v late: the next is not written", late)
+		}
+	}
+}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -186,7 +186,7 @@
 		p.carry(fx, false)
 		for open && f != nil {
 			buf = p.codec.Append(buf[:0], f, time.Now())
-			s.net.SetWriteDeadline(f.Deadline)
+			s.net.SetWriteDeadline(f.writeBy())
 			n, err := s.net.Write(buf)
 			fx = fx[:0]
 			p.mu.Lock()
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -383,6 +383,9 @@
 	}
 	f := &forward.Forward{Flow: s.Flow, Attempt: len(s.forwards), Server: a.Server, Sent: n.own.Now(),
 		Deadline: s.deadline, Fresh: n.opt.Module.Classes[s.class].Effect == brain.Unsafe}
+	if a.By > 0 {
+		f.By = n.systemTime(a.By)
+	}
 	s.forwards = append(s.forwards, f)
 	s.out++
 	n.opt.Count.Sent(s.class)
