Let a read go on at once from a server that left while it was on its way there

Cause: TestDrainsBeforeTheConnectionIsUp. A request waited for a connection as its server began to drain; the pool took it back unwritten (Drained, told as Rejected), and brain.outcome took that for a full server: a read was refused where nothing was known of the origin, or waited in a back-off. So was one that a draining server turned away.

Change: a read that was turned away by a server that takes no keys any more goes on to the one that has its key now, at no charge, as nothing was done.

Tests: TestTurnedAwayByOneThatLeft (fails without the line), TestDrainsBeforeTheConnectionIsUp on sockets, which got -BUSY before. More crossings on sockets that held before: TestClosedAsARequestComes, TestShutdownTwiceAndInAReload, TestTenStartWithoutDiscovery (ready within 10 s with discovery down and addresses taken).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -532,8 +532,9 @@
 	case e.Reason == Miss:
 		q.missed = true
 		r.advance(q)
-	case cache && e.Reason == Rejected && len(q.attempts) < 3 && s.opinion.Doubtful() && r.elsewhere(q, s):
-		r.advance(q) // others have room. Nothing was done, so it is no second attempt
+	case cache && e.Reason == Rejected && (!r.takesKeys(s) ||
+		len(q.attempts) < 3 && s.opinion.Doubtful() && r.elsewhere(q, s)):
+		r.advance(q) // it left, or others have room. Nothing was done, so it is no second attempt
 	case e.Reason == TimedOut || e.Reason == Moot || !r.budgets[q.class].Second(r.now):
 		r.giveUp(q)
 	case cache && e.Reason == Spoilt: // again where the object is: any server spoils an answer now and then
--- a/brain/list_test.go
+++ b/brain/list_test.go
@@ -165,3 +165,25 @@
 		}
 	}
 }
+
+// TestTurnedAwayByOneThatLeft: a read that was turned away by a server which the list no longer names for work goes on to the one that
+// has its key now, though nothing is known of the origin and the class is refused first. Elsewhere it is refused.
+func TestTurnedAwayByOneThatLeft(t *testing.T) {
+	for _, left := range []bool{true, false} {
+		b := newBench(t, testSettings(), "s1", "s2")
+		for range 50 { // it does well
+			id, _ := b.ask("high", "k", nil)
+			b.end(id, OK, ms)
+		}
+		id, actions := b.ask("low", "k", nil)
+		first := b.sentTo(actions)
+		if left {
+			b.do(List{Scope: Changes, Servers: []Server{{ID: first, Kind: "cache", Zone: "a", Units: 1, State: Draining}}})
+		}
+		actions = b.end(id, Rejected, ms)
+		sends := find[Send](actions)
+		if moved := len(sends) == 1 && sends[0].Server != first; moved != left {
+			t.Errorf("left %v: %v", left, actions)
+		}
+	}
+}
--- a/tests/crossings_test.go
+++ b/tests/crossings_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -43,6 +44,15 @@
 	return false
 }
 
+// pause stops the node until SIGCONT.
+func (r *rig) pause() {
+	r.cmd.Process.Signal(syscall.SIGSTOP)
+	r.until("the node stands still", func() bool {
+		stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.cmd.Process.Pid))
+		return bytes.Contains(stat, []byte(") T "))
+	})
+}
+
 // closedDoor is a cache server whose listening queue is full: a dial to it does not come up before open is called.
 type closedDoor struct {
 	ln     *net.TCPListener
@@ -157,11 +167,7 @@
 	kept := r.dial()
 	kept.send("CACHE.GET", "k", "before", "c=read,d=2900").want("value-before")
 	gone := []*client{kept, r.dial()} // on a connection that it has, and on one that is not accepted yet
-	r.cmd.Process.Signal(syscall.SIGSTOP)
-	r.until("the node stands still", func() bool {
-		stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.cmd.Process.Pid))
-		return bytes.Contains(stat, []byte(") T "))
-	})
+	r.pause()
 	for _, c := range gone {
 		for i := range 80 {
 			c.send("CACHE.GET", "k", fmt.Sprint("gone", i, c.LocalAddr()), "c=read,d=2900")
@@ -249,3 +255,122 @@
 	}
 	r.exited <- nil
 }
+
+// A server closes the connection that rests just as a request comes, while the node does not run. As it runs again it finds both:
+// the request is not written to the closed connection, where it would be lost.
+func TestClosedAsARequestComes(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	var rests []net.Conn
+	box := newTarget(t, hit)
+	between, err := net.Listen("tcp", loopback()) // what the node takes for the server
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { between.Close() })
+	go func() {
+		for {
+			c, err := between.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			rests = append(rests, c)
+			mu.Unlock()
+			go box.serve(c, hit)
+		}
+	}()
+	box.addr = between.Addr().String()
+	r := newRig(t, box).start()
+	c := r.dial()
+	c.send("CACHE.GET", "k", "first", "c=read,d=2900").want("value-first")
+	r.pause()
+	mu.Lock()
+	for _, k := range rests {
+		k.(*net.TCPConn).SetLinger(0)
+		k.Close()
+	}
+	mu.Unlock()
+	c.send("CACHE.GET", "k", "second", "c=read,d=2900")
+	r.cmd.Process.Signal(syscall.SIGCONT)
+	c.want("value-second")
+	if n := c.counter(`forwards_ended{class="read",end="broken"}`); n > 0 {
+		t.Errorf("%d were written to a connection that had ended", n)
+	}
+}
+
+// A server begins to drain while a request waits for the connection to it. The request goes elsewhere, and nothing to the server,
+// though the connection comes up.
+func TestDrainsBeforeTheConnectionIsUp(t *testing.T) {
+	t.Parallel()
+	door := newClosedDoor(t)
+	box := &target{addr: door.ln.Addr().String()}
+	r := newRig(t, box)
+	set(r.config, "limits")["connect_timeout"] = 10000000
+	r.start()
+	c := r.dial().send("CACHE.GET", "k", "id", "c=read,d=2900")
+	r.counted(`forwards_sent{class="read"}`, 1)
+	r.tell(list(43, false, instance("s0", box.addr, "box", "draining")))
+	c.want("from-origin-id")
+	door.open(box, hit)
+	c.send("CACHE.GET", "k", "next", "c=read,d=2900").want("from-origin-next")
+	if got := box.seen(); len(got) > 0 {
+		t.Errorf("%v is sent to a server that drains", got)
+	}
+}
+
+// SIGTERM comes twice, and a reload just before: what is out is answered, and the node ends in order.
+func TestShutdownTwiceAndInAReload(t *testing.T) {
+	t.Parallel()
+	box, release := stuckTarget(t)
+	r := newRig(t, box).start()
+	c := r.dial().send("CACHE.GET", "stuck", "out", "c=read,d=2900")
+	r.until("it is out", func() bool { return len(box.seen()) == 1 })
+	text, err := os.ReadFile(r.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.replace(strings.Replace(string(text), `"discovery":"`, `"discovery":"127.0.0.1:1","was":"`, 1))
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM} {
+		r.cmd.Process.Signal(s)
+	}
+	if got := r.dial().send("PING").answer(); got != "+PONG" { // it goes on taking for the grace
+		t.Errorf("after SIGTERM PING got %q", got)
+	}
+	r.cmd.Process.Signal(syscall.SIGTERM)
+	close(release)
+	c.want("value-out")
+	if err := <-r.exited; err != nil {
+		t.Errorf("the node ended with %v: %s", err, &r.log)
+	}
+	r.exited <- nil
+}
+
+// Ten nodes start at once, with discovery down and their addresses taken for a moment by those before: all answer PING within 10 s.
+func TestTenStartWithoutDiscovery(t *testing.T) {
+	t.Parallel()
+	var rigs []*rig
+	var taken []net.Listener
+	for range 10 {
+		r := newRig(t, newTarget(t, hit))
+		r.config["discovery"] = "127.0.0.1:1"
+		taken = append(taken, r.address())
+		rigs = append(rigs, r)
+	}
+	began := time.Now()
+	for _, r := range rigs {
+		r.launch()
+	}
+	for i, r := range rigs {
+		r.logged("address_taken")
+		taken[i].Close()
+	}
+	for _, r := range rigs {
+		r.until("the node listens", r.listens)
+		r.dial().send("PING").want("+PONG")
+	}
+	if took := time.Since(began); took > 10*time.Second {
+		t.Errorf("ready after %v", took)
+	}
+	rigs[0].dial().send("CACHE.GET", "k", "id", "c=read,d=2900").want("value-id") // by the list that it is told at its start
+}
