--- /dev/null
+++ b/internal/listener/listener_test.go
@@ -0,0 +1,60 @@
+package listener
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"shelfproxy/internal/counters"
+	"shelfproxy/internal/flow"
+)
+
+// echo serves each request with its id.
+type echo struct{}
+
+func (echo) Take(f *flow.Flow) { f.Reply(flow.Response{Kind: flow.Served, Value: f.ID}) }
+func (echo) Gone(*flow.Flow)   {}
+
+// TestQueueIsAcceptedAtTheEnd: connections that the system has taken, and the listener not yet, as it closes are accepted, and what
+// was sent on them is answered; then they end in order.
+func TestQueueIsAcceptedAtTheEnd(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := New(ln, echo{}, []string{"read"}, nil, Limits{Conns: 64, Pipelined: 3, Value: 100, Write: time.Second, Silent: time.Second, Crowd: time.Second, Idle: time.Second},
+		counters.New([]string{"read"}, flow.Kinds(), nil))
+	var all []net.Conn
+	for i := range 20 {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$4\r\nid%02d\r\n$13\r\nc=read,d=3000\r\n", i)
+		all = append(all, c)
+	}
+	l.Close() // before it has accepted one
+	served := make(chan error)
+	go func() { served <- l.Serve() }()
+	for i, c := range all {
+		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		got, err := io.ReadAll(c)
+		if want := fmt.Sprintf("$4\r\nid%02d\r\n", i); string(got) != want || err != nil {
+			t.Errorf("connection %d got %q, %v", i, got, err)
+		}
+	}
+	if err := <-served; err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+	l.Wait()
+	if c, err := net.Dial("tcp", ln.Addr().String()); err == nil {
+		c.Close()
+		t.Error("it still listens")
+	} else if !strings.Contains(err.Error(), "refused") {
+		t.Error(err)
+	}
+}
--- a/tests/crossings_test.go
+++ b/tests/crossings_test.go
@@ -374,3 +374,35 @@
 	}
 	rigs[0].dial().send("CACHE.GET", "k", "id", "c=read,d=2900").want("value-id") // by the list that it is told at its start
 }
+
+// A server begins to drain while it is at work, and stops in the middle of an answer. What it had begun is waited for, and nothing
+// else is sent there; half an answer that never ends reaches nobody, and its client is answered in its time.
+func TestDrainsInTheMiddleOfItsWork(t *testing.T) {
+	t.Parallel()
+	release := make(chan bool)
+	box := newTarget(t, func(args []string) string {
+		switch args[1] {
+		case "slow":
+			<-release
+		case "half":
+			return "*3\r\n$10\r\nhal"
+		}
+		return hit(args)
+	})
+	r := newRig(t, box).start()
+	slow := r.dial().send("CACHE.GET", "slow", "slow", "c=read,d=2900")
+	r.until("it is out", func() bool { return len(box.seen()) == 1 })
+	half := r.dial().send("CACHE.GET", "half", "half", "c=read,d=900")
+	r.until("the other too", func() bool { return len(box.seen()) == 2 })
+	r.tell(list(43, false, instance("s0", box.addr, "box", "draining")))
+	r.counted("discovery_lists", 2) // the watch's first one, and the drain
+	next := r.dial()
+	next.send("CACHE.GET", "k", "next", "c=read,d=2900").want("from-origin-next")
+	half.want("-")
+	close(release)
+	slow.want("value-slow")
+	next.send("CACHE.GET", "half", "again", "c=read,d=2900").want("from-origin-again")
+	if n := len(box.seen()); n != 2 {
+		t.Errorf("%d requests came to a server that drains, want the first two", n)
+	}
+}
