Find a list that is cut short while its watch goes on

Change: a line of nothing but white space within a list, or a line end within a string, ends the watch as garbage; no writer of indented JSON makes either. So half a list is found with the next beat at the latest.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -19,6 +19,7 @@
 	errSilent   = errors.New("discovery: the watch fell silent")
 	errLate     = errors.New("discovery: the call was not answered in time")
 	errEnded    = errors.New("discovery: the watch ended")
+	errCut      = fmt.Errorf("%w: one that is cut short", ErrGarbage)
 	errTooLong  = fmt.Errorf("%w: one without an end", ErrGarbage)
 	errNoObject = fmt.Errorf("%w: something that is no object", ErrGarbage)
 )
@@ -27,7 +28,8 @@
 // silent. It has no clock and no I/O: whoever moves the bytes tells it what came and when.
 //
 // A list is a JSON object; it may be indented, and so take many lines. Between lists there is white space, and a line of nothing
-// else says that nothing has changed.
+// else says that nothing has changed. Such a line within a list, or the end of one within a string, shows that the list was cut
+// short: whatever comes behind is no part of it.
 type Follower struct {
 	opened bool
 	until  time.Time // silent from then on
@@ -35,6 +37,7 @@
 	depth  int       // of the brackets that are open in it
 	text   bool      // it is within a string
 	escape bool      // whose next byte is escaped
+	said   bool      // the line in hand holds more than white space
 	parser fastjson.Parser
 	ended  bool
 }
@@ -63,6 +66,12 @@
 	for i, c := range b {
 		if c == '\n' {
 			f.until = now.Add(asking.Silence)
+			if f.depth > 0 && (f.text || !f.said) {
+				return lists, f.end(errCut)
+			}
+			f.said = false
+		} else if c != ' ' && c != '\t' && c != '\r' {
+			f.said = true
 		}
 		switch {
 		case f.depth == 0:
--- a/internal/discovery/follower_fuzz_test.go
+++ b/internal/discovery/follower_fuzz_test.go
@@ -11,7 +11,7 @@
 // stays an end.
 func FuzzFollower(f *testing.F) {
 	list := `{"generation":43,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"10.1.0.18:6379","zone":"a","machineType":"m2","cell":3,"lifecycle":"up","weight":1.0,"startedAtMs":0}]}`
-	for _, s := range []string{list + "\n\n\r\n" + list + "\n", list, "{}\n", `{"generation":1}` + "\n", "\n\n", strings.ReplaceAll(list, ",", ",\n\t"), `{"a":"}\""}`, "{}}", "null\n", `{"generation":1,"instances":[{"lifecycle":"gone"}]}` + "\n"} {
+	for _, s := range []string{list + "\n\n\r\n" + list + "\n", list, "{}\n", `{"generation":1}` + "\n", "\n\n", strings.ReplaceAll(list, ",", ",\n\t"), `{"a":"}\""}`, "{}}", list[:60] + "\n\n" + list + "\n", "null\n", `{"generation":1,"instances":[{"lifecycle":"gone"}]}` + "\n"} {
 		f.Add([]byte(s), uint8(5), true)
 		f.Add([]byte(s), uint8(0), false)
 	}
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -36,6 +36,23 @@
 	}
 }
 
+// TestFollowerFindsACutList: the watch goes on behind half a list. That is found by the next line at the latest, wherever it was cut,
+// and not taken for a list that is still on its way.
+func TestFollowerFindsACutList(t *testing.T) {
+	list := `{"generation":43,"reset":false,"instances":[` + entry + `]}`
+	now := time.Unix(1000, 0)
+	for at := 1; at < len(list); at++ {
+		for name, behind := range map[string]string{"beats": "\n\n", "another list": "\n" + list + "\n\n", "beats of two bytes": "\r\n\r\n"} {
+			f := NewFollower(now, time.Second)
+			f.Answered(now, 200)
+			lists, err := f.Received(now, []byte(list[:at]+behind))
+			if len(lists) > 0 || !errors.Is(err, ErrGarbage) {
+				t.Fatalf("cut at %d, then %s: %d lists, %v", at, name, len(lists), err)
+			}
+		}
+	}
+}
+
 // TestFollowerFindsSilence: a watch is broken once nothing has come for the longest time between two lines and half of that; a call
 // that is not answered is given up.
 func TestFollowerFindsSilence(t *testing.T) {
