--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -523,9 +523,9 @@
 
 // Pull is the next forward to write to a connection, of which the shell writes the bytes and then says Wrote; nil where
 // there is none. From here on it may have run. The list is looked at for the last time here, and whether the client is still
-// there and a repeat in its time: one that is not ends as NotSent. stale says that a connection on which nothing is awaited has bytes to read or
-// has ended: an answer to a request written now could not be told from such bytes, and a request written to a closed connection
-// is lost.
+// there and a repeat in its time: one that is not ends as NotSent. stale says that a connection on which nothing is awaited
+// has bytes to read or has ended: an answer to a request written now could not be told from such bytes, and a request written
+// to a closed connection is lost.
 func (p *Core) Pull(now time.Time, c *Conn, stale bool, fx *Effects) *Forward {
 	if c.closed || c.writing != nil || len(c.queue) == 0 {
 		return nil
