--- a/tests/crossings_test.go
+++ b/tests/crossings_test.go
@@ -115,15 +115,20 @@
 	}()
 }
 
-// A client leaves while the connection that its request waits for is not up. It comes up, and carries the next request only.
-func TestGoneBeforeTheConnectionIsUp(t *testing.T) {
-	t.Parallel()
+// newRigBehindADoor starts a node whose one cache server is behind a closed door, for which it waits as long as its clients do.
+func newRigBehindADoor(t *testing.T) (*rig, *closedDoor, *target) {
 	door := newClosedDoor(t)
 	box := &target{addr: door.ln.Addr().String()}
 	r := newRig(t, box)
 	set(r.config, "limits")["connect_timeout"] = 60000000
 	r.patient()
-	r.start()
+	return r.start(), door, box
+}
+
+// A client leaves while the connection that its request waits for is not up. It comes up, and carries the next request only.
+func TestGoneBeforeTheConnectionIsUp(t *testing.T) {
+	t.Parallel()
+	r, door, box := newRigBehindADoor(t)
 	gone := r.dial().send("CACHE.GET", "k", "gone", "c=read,d=60000")
 	r.counted("forwards_sent{class=\"read\"}", 1)
 	gone.Close()
@@ -313,12 +318,7 @@
 // though the connection comes up.
 func TestDrainsBeforeTheConnectionIsUp(t *testing.T) {
 	t.Parallel()
-	door := newClosedDoor(t)
-	box := &target{addr: door.ln.Addr().String()}
-	r := newRig(t, box)
-	set(r.config, "limits")["connect_timeout"] = 60000000
-	r.patient()
-	r.start()
+	r, door, box := newRigBehindADoor(t)
 	c := r.dial().send("CACHE.GET", "k", "id", "c=read,d=60000")
 	r.counted(`forwards_sent{class="read"}`, 1)
 	r.tell(list(43, false, instance("s0", box.addr, "box", "draining")))
