Measure the event loop's steps and log why requests and connections ended

Nothing told that the event loop stood still, why a request got no value, or that the node ended a connection in front of a request.

Change: each step of the event loop is measured; one over 50 ms is counted and logged with its kind and the number of endpoints (loop_slow, loop_longest_step_us, loop_longest_wait_us). The policy's Reject and Fail carry a Cause, counted as flows_ended{cause}. An answer over 50 ms late is logged with the request's id (request_late). At the level debug every request, attempt and end of a connection is logged by id; records below info are no longer limited. The listener counts bytes that come on connections which it has ended, and requests that it leaves without a response.

--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -185,6 +185,7 @@
 		return err
 	}
 	maxConnections := d.descriptors.split.Limits()[admission.Clients]
-	d.listener = listener.New(socket, d.node, classNames(d.cfg), tenantNames(d.cfg), listenerLimits(d.cfg, maxConnections), d.counters)
+	d.listener = listener.New(socket, d.node, classNames(d.cfg), tenantNames(d.cfg), listenerLimits(d.cfg, maxConnections), d.counters,
+		logs.Component(d.rootLog, "listener"))
 	return nil
 }
--- a/internal/listener/commands.go
+++ b/internal/listener/commands.go
@@ -46,7 +46,7 @@
 	c.count.BadFraming.Add(1)
 	conn.slots = append(conn.slots, &ResponseSlot{isReady: true, prefix: errorResponse(err)})
 	conn.isPaused, conn.isFramingBroken = true, true
-	c.finish(now, conn, effects)
+	c.finish(now, conn, EndedBadFraming, effects)
 	c.notifyWriter(conn, effects)
 }
 
@@ -66,7 +66,7 @@
 		c.answer(now, conn, admission.CommandOther, redcon.AppendOK(nil), effects)
 	case isCommand(name, "QUIT"):
 		c.answer(now, conn, admission.CommandOther, redcon.AppendOK(nil), effects)
-		c.finish(now, conn, effects)
+		c.finish(now, conn, EndedByQuit, effects)
 	default:
 		c.rejectCommand(now, conn, errUnknownCommand, effects)
 	}
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -22,6 +22,8 @@
 	isPaused            bool            // as many responses are owed as may be: further commands wait
 	isFramingBroken     bool            // nothing more is read
 	closeAfterResponses bool            // close once everything that is owed is written
+	endReason           EndReason       // why it is closed, once it is to be
+	end                 End             // valid once isClosed is set
 	isClosed            bool
 	lingerDeadline      time.Time // until when a closed connection lingers; zero if it does not
 }
@@ -50,6 +52,19 @@
 	return !c.isClosed && c.writing == 0 && len(c.slots) > 0 && c.slots[0].isReady
 }
 
+// End says how a connection that is closed ended.
+func (c *Conn) End() End { return c.end }
+
+// owedRequests returns how many requests have no response that was written.
+func (c *Conn) owedRequests() (owed int) {
+	for _, slot := range c.slots {
+		if slot.isRequest {
+			owed++
+		}
+	}
+	return owed
+}
+
 // ResponseSlot is the place of one command's response among those of its connection.
 type ResponseSlot struct {
 	request   *request.Request // until it is answered; nil if the listener answers by itself
--- a/internal/listener/core.go
+++ b/internal/listener/core.go
@@ -55,7 +55,7 @@
 func (c *Core) Accepted(now time.Time) *Conn {
 	c.lastID++
 	conn := newConn(c.lastID)
-	conn.closeAfterResponses = c.isDraining
+	conn.closeAfterResponses, conn.endReason = c.isDraining, EndedByDrain
 	c.conns[conn.id] = conn
 	c.table.Accepted(c.tableTime(now), conn.id)
 	c.count.Accepted.Add(1)
@@ -70,7 +70,7 @@
 	}
 	if hasVictim {
 		c.count.ClosedForCapacity.Add(1)
-		c.finish(now, c.conns[victim], effects)
+		c.finish(now, c.conns[victim], EndedForCapacity, effects)
 	}
 	return hasCapacity || c.isDraining
 }
@@ -105,23 +105,26 @@
 		c.endLingering(conn, effects)
 		return
 	}
-	c.close(now, conn, effects)
+	c.close(now, conn, EndedByClient, effects)
 }
 
 // finish closes a connection once everything that is owed on it is written.
-func (c *Core) finish(now time.Time, conn *Conn, effects *Effects) {
-	conn.closeAfterResponses = true
+func (c *Core) finish(now time.Time, conn *Conn, reason EndReason, effects *Effects) {
+	if !conn.closeAfterResponses {
+		conn.closeAfterResponses, conn.endReason = true, reason
+	}
 	if len(conn.slots) == 0 {
 		c.closeInOrder(now, conn, effects)
 	}
 }
 
 // close closes a connection at once.
-func (c *Core) close(now time.Time, conn *Conn, effects *Effects) {
+func (c *Core) close(now time.Time, conn *Conn, reason EndReason, effects *Effects) {
 	if conn.isClosed {
 		return
 	}
-	c.remove(now, conn)
+	conn.endReason = reason
+	c.remove(now, conn, effects)
 	effects.add(CloseConnection, conn, nil)
 	c.cancelRequests(conn, effects)
 }
@@ -131,7 +134,7 @@
 	if conn.isClosed {
 		return
 	}
-	c.remove(now, conn)
+	c.remove(now, conn, effects)
 	conn.lingerDeadline = now.Add(lingerTimeout)
 	c.lingering = append(c.lingering, conn)
 	effects.add(HalfClose, conn, nil)
@@ -141,8 +144,10 @@
 	c.cancelRequests(conn, effects)
 }
 
-func (c *Core) remove(now time.Time, conn *Conn) {
+func (c *Core) remove(now time.Time, conn *Conn, effects *Effects) {
 	conn.isClosed = true
+	conn.end = End{ConnectionID: conn.id, Reason: conn.endReason, Owed: conn.owedRequests()}
+	effects.add(ReportEnd, conn, nil)
 	delete(c.conns, conn.id)
 	c.table.Closed(c.tableTime(now), conn.id)
 }
--- a/internal/listener/effect.go
+++ b/internal/listener/effect.go
@@ -13,6 +13,7 @@
 	ResumeReading                        // Conn is no longer paused: call Resume
 	HalfClose                            // end the sending side of Conn, read and discard until it ends, then call ConnectionEnded
 	CloseConnection                      // close Conn
+	ReportEnd                            // Conn has ended as its End says
 	CapacityAvailable                    // there may be capacity for another connection: call HasCapacity
 )
 
--- a/internal/listener/expiry.go
+++ b/internal/listener/expiry.go
@@ -30,19 +30,21 @@
 		return
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.conns)) {
-		c.finish(now, c.conns[id], effects)
+		c.finish(now, c.conns[id], EndedByDrain, effects)
 	}
 }
 
 // closeIdle closes connections that have been idle for too long, a bounded number at a time.
 func (c *Core) closeIdle(now time.Time, effects *Effects) {
 	for _, id := range c.table.ExpireIdle(c.tableTime(now), maxExpiredPerSweep) {
+		reason := EndedIdle
 		if c.table.Stage(id) <= admission.StagePartialCommand {
+			reason = EndedWithoutCommand
 			c.count.ClosedWithoutCommand.Add(1)
 		} else {
 			c.count.ClosedIdle.Add(1)
 		}
-		c.finish(now, c.conns[id], effects)
+		c.finish(now, c.conns[id], reason, effects)
 	}
 }
 
@@ -54,7 +56,7 @@
 			return
 		}
 		c.count.ClosedStuck.Add(1)
-		c.close(now, c.conns[id], effects) // even while a write is going on
+		c.close(now, c.conns[id], EndedStuck, effects) // even while a write is going on
 	}
 }
 
@@ -73,9 +75,9 @@
 	effects.capacityAvailable()
 	for _, id := range slices.Sorted(maps.Keys(c.conns)) {
 		if conn := c.conns[id]; conn.framing.hasPartialCommand() {
-			conn.closeAfterResponses = true
+			conn.closeAfterResponses, conn.endReason = true, EndedByDrain
 		} else {
-			c.finish(now, conn, effects)
+			c.finish(now, conn, EndedByDrain, effects)
 		}
 	}
 }
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -4,13 +4,17 @@
 package listener
 
 import (
+	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"shelfproxy/internal/counters"
+	"shelfproxy/internal/logs"
 	"shelfproxy/internal/request"
 )
 
@@ -32,6 +36,9 @@
 	handler      request.Handler
 	count        *counters.Counters
 	writeTimeout time.Duration
+	log          *slog.Logger  // of the ends of connections, at the level debug
+	closedOwing  *atomic.Int64 // requests without a complete response on connections that the node ended
+	discarded    *atomic.Int64 // bytes that came on connections which the node had ended
 
 	mu       sync.Mutex // guards core, including all of its connections, and isClosed
 	core     *Core
@@ -42,8 +49,10 @@
 }
 
 // New returns a listener that accepts once Serve is called. See NewCore for classes and tenants.
-func New(netListener net.Listener, handler request.Handler, classes, tenants []string, limits Limits, count *counters.Counters) *Listener {
-	l := &Listener{netListener: netListener, handler: handler, count: count, writeTimeout: limits.WriteTimeout,
+func New(netListener net.Listener, handler request.Handler, classes, tenants []string, limits Limits, count *counters.Counters,
+	log *slog.Logger) *Listener {
+	l := &Listener{netListener: netListener, handler: handler, count: count, writeTimeout: limits.WriteTimeout, log: log,
+		closedOwing: count.Register("listener_closed_owing"), discarded: count.Register("listener_discarded_bytes"),
 		core: NewCore(time.Now(), classes, tenants, limits, count)}
 	l.core.Reply = l.respond
 	l.capacity.L = &l.mu
@@ -75,12 +84,25 @@
 			socketOf(effect.Conn).halfClose()
 		case CloseConnection:
 			socketOf(effect.Conn).close()
+		case ReportEnd:
+			l.reportEnd(effect.Conn.End())
 		case CapacityAvailable:
 			l.capacity.Broadcast()
 		}
 	}
 }
 
+// reportEnd counts and logs how a connection ended.
+func (l *Listener) reportEnd(end End) {
+	if end.Reason != EndedByClient {
+		l.closedOwing.Add(int64(end.Owed))
+	}
+	if l.log.Enabled(context.Background(), slog.LevelDebug) {
+		l.log.Debug("a connection of a client ended", logs.Event, "connection_ended", "connection", end.ConnectionID,
+			"reason", end.Reason.String(), "owed", end.Owed)
+	}
+}
+
 func socketOf(conn *Conn) *socket { return conn.Socket.(*socket) }
 
 // Serve accepts connections until Close. The error is that of closing the socket.
--- a/internal/listener/loops.go
+++ b/internal/listener/loops.go
@@ -18,7 +18,8 @@
 		switch now := time.Now(); {
 		case isEnded:
 			l.core.ConnectionEnded(now, conn, &effects)
-		case conn.IsClosed(): // what comes is discarded
+		case conn.IsClosed():
+			l.discarded.Add(int64(n))
 		case n > 0:
 			l.core.BytesReceived(now, conn, n, &effects)
 		case isPaused:
--- a/internal/listener/responses.go
+++ b/internal/listener/responses.go
@@ -79,7 +79,7 @@
 	}
 	if !isWritten {
 		c.count.WriteFailed.Add(1)
-		c.close(now, conn, effects)
+		c.close(now, conn, EndedWriteFailed, effects)
 		return
 	}
 	// Only now are these responses no longer owed: a connection with slots is not closed as idle.
--- a/internal/logs/limiter.go
+++ b/internal/logs/limiter.go
@@ -17,8 +17,8 @@
 const droppedKey = "left_out"
 
 // limiter is a slog.Handler that passes on the first records of each event in a window and counts the others. Events are
-// names in the code, so their number is bounded. Records without an event and errors are never dropped. It is safe for
-// concurrent use.
+// names in the code, so their number is bounded. Records without an event, errors, and records below the level info, which
+// an operator has asked for, are never dropped. It is safe for concurrent use.
 type limiter struct {
 	slog.Handler
 	component string
@@ -49,7 +49,7 @@
 // number of dropped ones.
 func (l *limiter) Handle(ctx context.Context, record slog.Record) error {
 	event := eventOf(record)
-	if event == "" || record.Level >= slog.LevelError {
+	if event == "" || record.Level >= slog.LevelError || record.Level < slog.LevelInfo {
 		return l.Handler.Handle(ctx, record)
 	}
 	allowed, droppedBefore := l.windows.allow(eventKey{l.component, event}, record.Time)
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -16,6 +16,7 @@
 	attempt := c.newAttempt(open, action)
 	open.attempts = append(open.attempts, attempt)
 	open.inFlight++
+	c.requestLog.attemptSent(open, attempt)
 	c.options.Counters.AttemptSent(open.class)
 	outcome, isInFlight := upstream.NotSent, false
 	if endpoint != nil && !open.isAnswered && !open.IsCancelled() && c.environment.Now().Before(open.deadline) {
@@ -57,7 +58,7 @@
 		return
 	}
 	if response.Outcome == upstream.Served {
-		c.respond(open, request.Response{Kind: request.Served, Value: response.Value})
+		c.respond(open, request.Response{Kind: request.Served, Value: response.Value}, causeNone)
 	}
 	c.endAttempt(open, attempt, response.Outcome)
 }
@@ -91,7 +92,9 @@
 	if endpoint := c.endpoints[attempt.Server]; endpoint != nil {
 		endpoint.inFlight--
 	}
+	now := c.environment.Now()
 	c.options.Counters.AttemptEnded(open.class, int(outcome))
+	c.requestLog.attemptEnded(now, open, attempt, outcome)
 	c.events = append(c.events, policy.Outcome{ID: open.id, Attempt: attempt.Number, Server: attempt.Server,
-		Reason: outcome.Reason(), Took: c.environment.Now().Sub(attempt.SentAt)})
+		Reason: outcome.Reason(), Took: now.Sub(attempt.SentAt)})
 }
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -43,6 +43,7 @@
 	openRequests int // that are owed a response
 	memory       admission.RequestMemory
 	loadLevel    float64 // that the policy was notified of
+	requestLog   requestLog
 
 	isDraining    bool
 	drainDeadline time.Time     // while draining: no request is answered later
@@ -63,7 +64,7 @@
 	}
 	core := &Core{options: options, environment: environment, router: router, drained: make(chan struct{}), start: environment.Now(),
 		classes: map[string]int{}, requests: map[uint64]*openRequest{}, byRequest: map[*request.Request]*openRequest{},
-		ids: map[string]bool{}, endpoints: map[string]*endpoint{}}
+		ids: map[string]bool{}, endpoints: map[string]*endpoint{}, requestLog: newRequestLog(options.Log, options.Counters)}
 	core.memory.Limit = options.MaxRequestBytes
 	for i, class := range options.Policy.Classes {
 		core.classes[class.Name] = i
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -106,8 +106,9 @@
 		}
 		now := time.Now()
 		n.intake.observeDelay(now, next.queuedAt)
+		n.monitor.queued(now.Sub(next.queuedAt))
 		n.core.SetLoadLevel(n.intake.loadLevel(now))
-		n.core.HandleRequest(next.Request)
+		n.monitor.measure(requestStep, n.core, func() { n.core.HandleRequest(next.Request) })
 		if taken == maxTakenAtOnce && hasMore {
 			n.intake.notifyLoop()
 			return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,9 +51,10 @@
 
 // Node is the event loop that owns a core. Its methods are safe for concurrent use, but must not be called from the loop itself.
 type Node struct {
-	core   *Core // the event loop's
-	count  *counters.Counters
-	intake *intake
+	core    *Core       // the event loop's
+	monitor loopMonitor // the event loop's
+	count   *counters.Counters
+	intake  *intake
 	// The queues are never closed: what is sent after the loop's end is dropped.
 	queue   chan func()
 	lists   chan func()   // served before queue: an attempt that is decided on after a change of the list must take it into account
@@ -62,7 +63,7 @@
 
 // New returns a node, which serves once Run is called. The error is the policy's about its settings.
 func New(options Options) (*Node, error) {
-	n := &Node{count: options.Counters, intake: newIntake(), queue: make(chan func(), queueLength),
+	n := &Node{monitor: newLoopMonitor(options.Log, options.Counters), count: options.Counters, intake: newIntake(), queue: make(chan func(), queueLength),
 		lists: make(chan func(), listsQueueLength), stopped: make(chan struct{})}
 	var err error
 	n.core, err = NewCore(options, Environment{
@@ -147,7 +148,7 @@
 	n.core.Start()
 	timer := time.NewTimer(0)
 	for n.runNext(timer, stop) {
-		n.core.HandleTimers()
+		n.monitor.measure(timerStep, n.core, n.core.HandleTimers)
 		if at, ok := n.core.NextTimer(); ok {
 			timer.Reset(time.Until(at))
 		}
@@ -158,15 +159,15 @@
 func (n *Node) runNext(timer *time.Timer, stop <-chan struct{}) bool {
 	select {
 	case update := <-n.lists:
-		update()
+		n.monitor.measure(listStep, n.core, update)
 		return true
 	default:
 	}
 	select {
 	case update := <-n.lists:
-		update()
+		n.monitor.measure(listStep, n.core, update)
 	case work := <-n.queue:
-		work()
+		n.monitor.measure(queueStep, n.core, work)
 	case <-n.intake.ready:
 		n.takeQueued()
 	case <-timer.C:
--- a/internal/policy/actions.go
+++ b/internal/policy/actions.go
@@ -16,10 +16,14 @@
 type Reject struct {
 	ID         uint64
 	RetryAfter time.Duration // how long the client should stay away; 0 gives no advice
+	Cause      Cause
 }
 
 // Fail is a final answer that promises nothing.
-type Fail struct{ ID uint64 }
+type Fail struct {
+	ID    uint64
+	Cause Cause
+}
 
 // Cancel stops the wait for an attempt.
 type Cancel struct {
--- a/internal/policy/example_test.go
+++ b/internal/policy/example_test.go
@@ -39,5 +39,5 @@
 	// policy.Send {ID:1 Server:cache-1 WriteBy:0s}
 	// policy.Send {ID:2 Server:cache-1 WriteBy:0s}
 	// policy.Send {ID:2 Server:ledger WriteBy:0s}
-	// policy.Reject {ID:3 RetryAfter:1s}
+	// policy.Reject {ID:3 RetryAfter:1s Cause:no_server}
 }
--- a/internal/policy/originqueue.go
+++ b/internal/policy/originqueue.go
@@ -19,7 +19,7 @@
 // fetchFromOrigin gets a missed key from the origin, unless its bucket is being shed.
 func (r *Router) fetchFromOrigin(req *request) {
 	if r.origin != nil && r.shouldShed(req.bucket, &r.origin.gauge) {
-		r.reject(req)
+		r.reject(req, CauseOriginSlow)
 		return
 	}
 	r.flights[req.Key] = &flight{leader: req}
--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -54,19 +54,24 @@
 	req.bucket = bucketOf(req)
 	r.retryBudgets[class].RecordAttempt(r.now)
 	// A read with less time left than the fastest recent answers took would only fail later.
-	if r.shedsForLoad(req) || !e.Write && e.Deadline-r.now < r.fastestHit {
-		r.reject(req)
-		return
+	switch {
+	case r.shedsForLoad(req):
+		r.reject(req, CauseNodeBehind)
+	case !e.Write && e.Deadline-r.now < r.fastestHit:
+		r.reject(req, CauseNoTime)
+	default:
+		r.advance(req)
 	}
-	r.advance(req)
 }
 
 // advance takes the next step of a request that has nothing in flight.
 func (r *Router) advance(req *request) {
 	switch {
 	case req.isEnded || req.inFlight > 0:
-	case r.now >= req.Deadline || len(req.attempts) >= r.settings.MaxAttempts:
-		r.giveUp(req)
+	case r.now >= req.Deadline:
+		r.giveUp(req, CauseDeadline)
+	case len(req.attempts) >= r.settings.MaxAttempts:
+		r.giveUp(req, CauseMaxAttempts)
 	case r.settings.OriginKind != "" && req.Write:
 		r.sendOrQueueAtOrigin(req) // writes are never shed
 	case r.settings.OriginKind != "" && r.flights[req.Key] != nil:
@@ -89,7 +94,7 @@
 		if r.originHasCapacity(calmUtilisation) {
 			r.fetchFromOrigin(req)
 		} else {
-			r.reject(req)
+			r.reject(req, CauseServerCrowded)
 		}
 	default:
 		r.send(req, srv)
@@ -98,8 +103,12 @@
 
 // send starts an attempt if there is a server and the class allows one there; else it gives the request up.
 func (r *Router) send(req *request, srv *server) {
-	if srv == nil || !r.mayRetryAt(req, srv) {
-		r.giveUp(req)
+	switch {
+	case srv == nil:
+		r.giveUp(req, CauseNoServer)
+		return
+	case !r.mayRetryAt(req, srv):
+		r.giveUp(req, CauseRetryNotAllowed)
 		return
 	}
 	srv.breaker.AttemptStarted(r.now)
@@ -146,28 +155,28 @@
 func (r *Router) resume(req *request) {
 	req.isWaiting = false
 	if r.originQueue.Contains(req) || r.now >= r.waitLimit(req) {
-		r.giveUp(req)
+		r.giveUp(req, CauseWait)
 	} else {
 		r.advance(req)
 	}
 }
 
 // giveUp answers a request for which there is no further step.
-func (r *Router) giveUp(req *request) {
+func (r *Router) giveUp(req *request, cause Cause) {
 	if r.now >= req.objectiveAt {
-		r.emit(Fail{req.ID})
+		r.emit(Fail{ID: req.ID, Cause: cause})
 		r.endRequest(req)
 		return
 	}
-	r.reject(req)
+	r.reject(req, cause)
 }
 
 // reject answers a request, with Reject where the class allows to promise that trying again is harmless.
-func (r *Router) reject(req *request) {
+func (r *Router) reject(req *request, cause Cause) {
 	if mayPromiseNoEffect(req) {
-		r.emit(Reject{ID: req.ID, RetryAfter: r.settings.MaxRetryAfter})
+		r.emit(Reject{ID: req.ID, RetryAfter: r.settings.MaxRetryAfter, Cause: cause})
 	} else {
-		r.emit(Fail{req.ID})
+		r.emit(Fail{ID: req.ID, Cause: cause})
 	}
 	r.endRequest(req)
 }
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -88,7 +88,7 @@
 	case reason == Rejected && r.mayRedirect(ended):
 		r.advance(req) // nothing was executed, so it is no retry
 	case reason == TimedOut || reason == NeverSent || !r.retryBudgets[req.class].AllowRetry(r.now):
-		r.giveUp(req)
+		r.giveUp(req, causeOfOutcome(reason))
 	default:
 		r.retry(ended, reason)
 	}
@@ -119,7 +119,7 @@
 		req.avoidedServer = srv
 		r.advance(req)
 	case isCache && req.bucket == bulk:
-		r.reject(req)
+		r.reject(req, CauseServerBusy)
 	default:
 		r.backOff(req)
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -71,8 +71,13 @@
 	Invalid               // the node can't make sense of the request; Text says why
 )
 
+var responseKindNames = [...]string{"served", "refused", "failed", "invalid"}
+
 // ResponseKinds returns the names of the kinds in the counters, in their order.
-func ResponseKinds() []string { return []string{"served", "refused", "failed", "invalid"} }
+func ResponseKinds() []string { return responseKindNames[:] }
+
+// String returns the name of the kind in counters and in the log.
+func (k ResponseKind) String() string { return responseKindNames[k] }
 
 // Response is the final response to a request.
 type Response struct {
