Hold the testbed's nodes to their limit on descriptors

Need: the platform enforces the configured sockets, the testbed only wrote them into the configuration.

Change: the testbed sets RLIMIT_NOFILE of each node's process as it starts it.

--- a/internal/testbed/demo/demo.go
+++ b/internal/testbed/demo/demo.go
@@ -154,7 +154,7 @@
 					return err
 				}
 			}
-			return instance.start(ctx, r.program, args, r.options.Plan.Nodes.CPUShare)
+			return instance.start(ctx, r.program, args, r.options.Plan.Nodes)
 		})
 	}
 	return starting.Wait()
--- a/internal/testbed/demo/instance.go
+++ b/internal/testbed/demo/instance.go
@@ -10,6 +10,7 @@
 	"shelfproxy/internal/testbed/emulator"
 	"shelfproxy/internal/testbed/invariants"
 	"shelfproxy/internal/testbed/nodes"
+	"shelfproxy/internal/testbed/scenario"
 )
 
 // frontNoticeDelay is how long a front takes to notice that a node drains.
@@ -35,15 +36,16 @@
 	return in.process
 }
 
-// start starts a process, waits until it answers and puts the instance in use. The process runs for a share of the time only where
-// cpuShare is above 0.
-func (in *instance) start(ctx context.Context, program string, args []string, cpuShare float64) error {
-	process, err := nodes.Start(nodes.Command{Program: program, Args: args, Name: in.Name, Listen: in.Listen, Config: in.Path})
+// start starts a process, waits until it answers and puts the instance in use. The process keeps to the limits on descriptors and,
+// if there is one, on its share of the time.
+func (in *instance) start(ctx context.Context, program string, args []string, limits scenario.Nodes) error {
+	process, err := nodes.Start(nodes.Command{Program: program, Args: args, Name: in.Name, Listen: in.Listen, Config: in.Path,
+		Sockets: limits.Sockets})
 	if err != nil {
 		return err
 	}
-	if cpuShare > 0 {
-		process.Throttle(cpuShare)
+	if limits.CPUShare > 0 {
+		process.Throttle(limits.CPUShare)
 	}
 	in.mu.Lock()
 	in.process = process
@@ -101,5 +103,5 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	return in.start(ctx, r.program, args, r.options.Plan.Nodes.CPUShare)
+	return in.start(ctx, r.program, args, r.options.Plan.Nodes)
 }
--- a/internal/testbed/nodes/process.go
+++ b/internal/testbed/nodes/process.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -43,6 +45,7 @@
 	Name    string // of the node, for messages
 	Listen  string // address of the node's listener
 	Config  string // path of the configuration; the log is written beside it
+	Sockets int    // descriptors that the process may have; 0 is no limit but the system's
 }
 
 // Start starts a node. It does not wait until the node is ready; the caller ends it with Stop.
@@ -64,6 +67,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("start node %s: %w", command.Name, err)
 	}
+	if command.Sockets > 0 {
+		limit := unix.Rlimit{Cur: uint64(command.Sockets), Max: uint64(command.Sockets)}
+		if err := unix.Prlimit(process.PID(), unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+			_ = process.cmd.Process.Kill() // it must not run without its limit
+			return nil, errors.Join(fmt.Errorf("limit the descriptors of node %s: %w", command.Name, err), process.cmd.Wait())
+		}
+	}
 	go func() { // ends with the process
 		process.exitErr = process.cmd.Wait()
 		close(process.done)
