Rank the servers of a slot once for each choice, not once for each candidate

Callers saw: in front of thousands of servers, requests without an answer, all of a node's within seconds of each other.

Cause: chooseServer (policy/hotkey.go) asked nextServer (policy/routing.go) for one candidate after another, and each call looked at all servers. So a request cost the square of the number of servers; and where many waited for one fetch, completeFlight chose for all of them within one step of the event loop.

A profile had 47% in nextServer, half of it below completeFlight.

Change: slotOrder looks at all servers once for the owner, and once more into a heap if more are asked for. explain and the choice past suspects use it too. Servers that serve keys are found as the list changes, not as they are asked for; a zone's failed connects hang on the server, not on a map by name.

--- a/internal/policy/endpointlist.go
+++ b/internal/policy/endpointlist.go
@@ -46,7 +46,7 @@
 		srv.slowStartFrom, srv.hitsToClear = entry.StartedAt, 0
 		srv.isUnresponsive = srv.isUnresponsive && entry.StartedAt <= srv.unresponsiveSince
 	}
-	srv.Server, srv.isListed = entry, entry.State != Removed
+	srv.Server, srv.zone, srv.isListed = entry, r.zoneNamed(entry.Zone), entry.State != Removed
 	if srv.gauge.aggregate != nil && entry.Zone == r.settings.Zone {
 		srv.gauge.aggregate = &r.zoneGauge
 	}
--- a/internal/policy/explain.go
+++ b/internal/policy/explain.go
@@ -42,7 +42,8 @@
 	explanation := Explanation{Key: key, Popularity: r.keyPopularity(key), Servers: []ServerExplanation{}}
 	slot, anyRequest := slotOf(key), &request{}
 	isUsed := map[*server]bool{}
-	for srv, at := r.nextServer(slot, 0, anyRequest); srv != nil; srv, at = r.nextServer(slot, at, anyRequest) {
+	order := r.orderOf(slot, anyRequest)
+	for srv := order.next(); srv != nil; srv = order.next() {
 		isUsed[srv] = true
 		explanation.Servers = append(explanation.Servers, r.explainServer(srv))
 	}
--- a/internal/policy/harness_test.go
+++ b/internal/policy/harness_test.go
@@ -145,8 +145,8 @@
 
 // ownerOf returns the id of the cache server that owns the key.
 func (driver *routerDriver) ownerOf(key string) string {
-	srv, _ := driver.router.nextServer(slotOf(key), 0, &request{})
-	return srv.ID
+	order := driver.router.orderOf(slotOf(key), &request{})
+	return order.next().ID
 }
 
 // keyOwnedBy returns a key that starts with the prefix and that the server owns.
--- a/internal/policy/healthcheck.go
+++ b/internal/policy/healthcheck.go
@@ -51,7 +51,7 @@
 func (r *Router) markResponsive(srv *server) {
 	srv.lastSeen, srv.checkResets = r.now, 0
 	srv.breaker.Succeeded(r.now)
-	r.failedConnects[srv.Zone] = 0
+	srv.zone.failedConnects = 0
 	if !srv.isUnresponsive {
 		return
 	}
--- a/internal/policy/hotkey.go
+++ b/internal/policy/hotkey.go
@@ -33,12 +33,12 @@
 // more than a part of its owner's fair share would overload it: it is spread over as many of the next servers as
 // bring it under that part of each, and goes to the one of them with the fewest attempts in flight.
 func (r *Router) chooseServer(req *request) *server {
-	slot := slotOf(req.Key)
-	srv, score := r.nextServer(slot, 0, req)
+	order := r.orderOf(slotOf(req.Key), req)
 	var best *server
 	excess := r.keyPopularity(req.Key) / hotKeyFraction
 	part := r.requestWeight / float64(1+int(excess))
-	for candidates := 0; srv != nil; srv, score = r.nextServer(slot, score, req) {
+	candidates := 0
+	for srv := order.next(); srv != nil; srv = order.next() {
 		if r.isWarmingUp(srv) { // the draw alone decides: with little in flight it would always be chosen
 			srv.offered += r.requestWeight
 			if r.admitsDuringSlowStart(srv, req) {
--- a/internal/policy/hotkey_test.go
+++ b/internal/policy/hotkey_test.go
@@ -75,7 +75,8 @@
 	isSpread := map[float64]map[string]bool{small: {}, large: {}} // keys, by the capacity of the owner
 	for i := range 40 {
 		key := fmt.Sprint("warm", i)
-		owner, _ := driver.router.nextServer(slotOf(key), 0, &request{})
+		order := driver.router.orderOf(slotOf(key), &request{})
+		owner := order.next()
 		spread := isSpread[owner.Capacity]
 		for range 6 { // 0.15 to 0.25 of a mean server's share at the end; a small one's is 0.2, a large one's 1.8
 			id, actions := driver.request("high", key, nil)
--- a/internal/policy/outcome.go
+++ b/internal/policy/outcome.go
@@ -79,7 +79,7 @@
 // a health check decides, or, where none is allowed, several failures in a row that load does not explain.
 func (r *Router) recordNoResponse(srv *server, e Outcome) {
 	if e.Reason == NoConnection {
-		r.failedConnects[srv.Zone]++
+		srv.zone.failedConnects++
 		srv.connectRefused = srv.connectRefused || e.Took < connectRefusedWithin
 	}
 	r.observeLatency(srv, e.Took, true)
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -38,12 +38,15 @@
 	servers             []*server // sorted by id
 	serverByID          map[string]*server
 	serverByFingerprint map[gossip.Fingerprint]*server
-	failedConnects      map[string]int // in a row, by zone
-	cacheGauge          gauge          // of all cache servers
-	zoneGauge           gauge          // of the cache servers of the own zone
-	zoneFraction        float64        // of all cache servers' weights, that of the own zone
-	activeServers       float64        // cache servers that are listed for work, also unresponsive ones
-	meanCapacity        float64        // of these
+	keyServers          []*server     // those of servers that serve keys
+	ranked              rankedServers // reused by one slotOrder after the other
+	zones               map[string]*zone
+	ownZone             *zone
+	cacheGauge          gauge   // of all cache servers
+	zoneGauge           gauge   // of the cache servers of the own zone
+	zoneFraction        float64 // of all cache servers' weights, that of the own zone
+	activeServers       float64 // cache servers that are listed for work, also unresponsive ones
+	meanCapacity        float64 // of these
 	crossZoneWeight     locality.CrossZoneWeight
 
 	// The origin.
@@ -91,7 +94,7 @@
 		flights:             map[string]*flight{},
 		serverByID:          map[string]*server{},
 		serverByFingerprint: map[gossip.Fingerprint]*server{},
-		failedConnects:      map[string]int{},
+		zones:               map[string]*zone{},
 		requestWeight:       1,
 		crossZoneWeight:     locality.CrossZoneWeight{AffinityBudget: settings.AffinityBudget},
 		originLimiter:       admission.ConcurrencyLimiter{Max: maxOriginInFlight},
@@ -102,6 +105,7 @@
 	if settings.MayGossip {
 		router.recheckPace = recheckPaceShared
 	}
+	router.ownZone = router.zoneNamed(settings.Zone)
 	router.addClasses()
 	router.cacheGauge.objectives = router.newObjectives()
 	router.cacheGauge.minTarget = time.Duration(float64(router.cacheGauge.maxTarget) * minTargetFraction)
--- a/internal/policy/routing.go
+++ b/internal/policy/routing.go
@@ -1,7 +1,5 @@
 package policy
 
-import "math"
-
 const (
 	slotCount          = 4096 // keys move between servers by slot
 	zoneCutOffFailures = 4    // connects that fail in a row before a zone counts as unreachable
@@ -10,27 +8,6 @@
 // slotOf maps a key to its slot, spread over 64 bits.
 func slotOf(key string) uint64 { return mix(hash(key)%slotCount + 1) }
 
-// nextServer maps a slot to cache servers by weighted rendezvous hashing: it returns the one with the lowest score
-// above after, which is the owner of the slot if after is 0, and its score; or nil. Routers agree without
-// communicating.
-func (r *Router) nextServer(slot uint64, after float64, req *request) (best *server, score float64) {
-	score = math.Inf(1)
-	for _, srv := range r.servers {
-		if !keepsSlot(srv, slot) || r.isExcluded(srv) || req.avoids(srv) || !r.servesKeys(srv) {
-			continue
-		}
-		weight := r.rendezvousWeight(srv)
-		draw := unitInterval(mix(slot ^ srv.hash))
-		if 1-draw >= score*weight { // cannot win, as -log(draw) is no less; spares most of the logarithms
-			continue
-		}
-		if at := -math.Log(draw) / weight; at > after && at < score {
-			best, score = srv, at
-		}
-	}
-	return best, score
-}
-
 // keepsSlot reports whether the server keeps the slot as an outlier: it keeps a part of its slots, the same ones at
 // every router.
 func keepsSlot(srv *server, slot uint64) bool {
@@ -52,15 +29,14 @@
 // isZoneCutOff reports whether the server's zone is another one that can't be reached. That must not be found out
 // server by server: each costs a connect that fails.
 func (r *Router) isZoneCutOff(srv *server) bool {
-	return r.settings.MayHealthCheck && srv.Zone != r.settings.Zone &&
-		r.failedConnects[srv.Zone] >= zoneCutOffFailures
+	return r.settings.MayHealthCheck && srv.zone != r.ownZone && srv.zone.failedConnects >= zoneCutOffFailures
 }
 
 // rendezvousWeight is the server's weight in the spread of keys. One that warms up weighs less.
 func (r *Router) rendezvousWeight(srv *server) float64 {
 	weight := r.slowStartWeight(srv)
 	weight *= r.capacityWeight(srv)
-	if srv.Zone != r.settings.Zone {
+	if srv.zone != r.ownZone {
 		weight *= r.crossZoneWeight.Weight()
 	}
 	return weight
@@ -76,7 +52,7 @@
 func (r *Router) avoidSuspects(req *request, rejectedBy *server) bool {
 	avoided := req.avoidedServer
 	req.avoidedServer, req.avoidsSuspects = rejectedBy, true
-	if other, _ := r.nextServer(slotOf(req.Key), 0, req); other != nil {
+	if order := r.orderOf(slotOf(req.Key), req); order.next() != nil {
 		return true
 	}
 	req.avoidedServer, req.avoidsSuspects = avoided, false
--- a/internal/policy/server.go
+++ b/internal/policy/server.go
@@ -11,6 +11,7 @@
 // server is a cache server or the origin, as this router sees it.
 type server struct {
 	Server
+	zone     *zone
 	hash     uint64
 	isListed bool
 	gauge    gauge
@@ -35,6 +36,19 @@
 	assessment gossip.Assessment // against the other servers, see outlier.go
 }
 
+// zone is what is known of a zone as a whole.
+type zone struct{ failedConnects int } // in a row
+
+// zoneNamed returns the zone with the name, a new one where it is not known.
+func (r *Router) zoneNamed(name string) *zone {
+	known := r.zones[name]
+	if known == nil {
+		known = &zone{}
+		r.zones[name] = known
+	}
+	return known
+}
+
 // isOriginKind reports whether the server is the origin by its kind.
 func (r *Router) isOriginKind(srv *server) bool {
 	return r.settings.OriginKind != "" && srv.Kind == r.settings.OriginKind
@@ -92,19 +106,21 @@
 // minTotalWeight bounds a divisor away from zero where no server is listed for work.
 const minTotalWeight = 1e-9
 
-// countActiveServers counts the cache servers that are listed for work, and their capacity here and in other zones.
+// countActiveServers finds the cache servers that are listed for work, and their capacity here and in other zones.
 func (r *Router) countActiveServers() {
-	r.activeServers, r.meanCapacity = 0, 0
+	clear(r.keyServers) // those that are not listed any more must not stay in memory
+	r.keyServers, r.activeServers, r.meanCapacity = r.keyServers[:0], 0, 0
 	var zoneWeight, totalWeight float64
 	for _, srv := range r.servers {
 		if !r.servesKeys(srv) {
 			continue
 		}
+		r.keyServers = append(r.keyServers, srv)
 		r.activeServers++
 		r.meanCapacity += srv.Capacity
 		weight := r.capacityWeight(srv)
 		totalWeight += weight
-		if srv.Zone == r.settings.Zone {
+		if srv.zone == r.ownZone {
 			zoneWeight += weight
 		}
 	}
--- /dev/null
+++ b/internal/policy/slotorder_test.go
@@ -0,0 +1,89 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+// newWideDriver returns the driver of a router with many cache servers in two zones, of different sizes.
+func newWideDriver(t *testing.T, servers int) *routerDriver {
+	t.Helper()
+	settings := testSettings()
+	settings.WeightByCapacity, settings.Zone = true, "a"
+	driver := newDriver(t, settings)
+	list := EndpointUpdate{Scope: FullUpdate, Servers: []Server{{ID: originID, Kind: "origin", Zone: "a"}}}
+	for i, id := range serverIDs(servers) {
+		list.Servers = append(list.Servers, Server{
+			ID: id, Kind: "cache", Zone: []string{"a", "b"}[i%2], Capacity: float64(1 + i%3),
+		})
+	}
+	driver.handle(list)
+	return driver
+}
+
+// TestSlotOrderIsThatOfTheScores: servers come in the order of their scores, each once, without those that get nothing.
+func TestSlotOrderIsThatOfTheScores(t *testing.T) {
+	driver := newWideDriver(t, 40)
+	router := driver.router
+	router.keyServers[3].isUnresponsive = true
+	router.keyServers[7].assessment.KeptFraction = 0.5
+	driver.restart(router.keyServers[11].ID, "b")
+	avoided := &request{avoidedServer: router.keyServers[19]}
+	for i := range 50 {
+		slot := slotOf(fmt.Sprint("k", i))
+		score := func(srv *server) float64 {
+			return -math.Log(unitInterval(mix(slot^srv.hash))) / router.rendezvousWeight(srv)
+		}
+		want := slices.DeleteFunc(slices.Clone(router.keyServers), func(srv *server) bool {
+			return !keepsSlot(srv, slot) || srv.isUnresponsive || avoided.avoids(srv)
+		})
+		slices.SortFunc(want, func(a, b *server) int { return int(math.Copysign(1, score(a)-score(b))) })
+		var got []*server
+		order := router.orderOf(slot, avoided)
+		for srv := order.next(); srv != nil; srv = order.next() {
+			got = append(got, srv)
+		}
+		if !slices.Equal(got, want) {
+			t.Fatalf("slot %d: got %d servers in another order than the %d of their scores", slot, len(got), len(want))
+		}
+	}
+}
+
+// shortest returns the shortest time that a function takes in some runs, which a busy machine does not change much.
+func shortest(run func()) time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for range 9 {
+		start := time.Now()
+		run()
+		least = min(least, time.Since(start))
+	}
+	return least
+}
+
+// checkGrowth fails the test if what a function does costs more in front of sixteen times the servers than in proportion to them,
+// with a factor for caches of the processor and logarithms.
+func checkGrowth(t *testing.T, what string, run func(driver *routerDriver)) {
+	t.Helper()
+	const few, times, slack = 200, 16, 4
+	cost := func(servers int) time.Duration {
+		driver := newWideDriver(t, servers)
+		driver.readOtherKeys(200)
+		return shortest(func() { run(driver) })
+	}
+	if usual, most := cost(few), cost(times*few); most > slack*times*usual {
+		t.Errorf("%s: %v in front of %d servers, %v in front of %d, want at most %d times as much", what, usual, few, most, times*few, slack*times)
+	}
+}
+
+// Report 7e0653: requests for a popular key cost the square of the number of servers, also those that wait for one fetch.
+func TestCostOfAPopularKeyFollowsTheNumberOfServers(t *testing.T) {
+	checkGrowth(t, "requests for a popular key", func(driver *routerDriver) {
+		for range 40 {
+			id, _ := driver.request("high", "popular", nil)
+			driver.endAttempt(id, Succeeded, ms)
+		}
+	})
+}
--- a/internal/policy/slowstart_test.go
+++ b/internal/policy/slowstart_test.go
@@ -103,8 +103,9 @@
 	var hot []string // keys that s1 does not own but is next for while it warms up
 	for i := 0; len(hot) < 3; i++ {
 		key := fmt.Sprint("h", i)
-		_, score := driver.router.nextServer(slotOf(key), 0, &request{})
-		if next, _ := driver.router.nextServer(slotOf(key), score, &request{}); next.ID == "s1" {
+		order := driver.router.orderOf(slotOf(key), &request{})
+		order.next()
+		if order.next().ID == "s1" {
 			hot = append(hot, key)
 		}
 	}
--- a/internal/policy/upkeep.go
+++ b/internal/policy/upkeep.go
@@ -26,10 +26,7 @@
 func (r *Router) upkeep() {
 	r.emit(SetTimer{At: r.now + upkeepInterval, Token: upkeepToken})
 	r.pruneKeyCounts()
-	for _, srv := range r.servers {
-		if !r.servesKeys(srv) {
-			continue
-		}
+	for _, srv := range r.keyServers {
 		r.assess(srv)
 		r.hedgeSlowReads(srv)
 		r.checkIfQuiet(srv)
