Bound the descriptors of all pools together, and evict idle connections for new ones

Callers saw: requests on connections that the node did not accept, so without an answer, once the node used more than some hundred servers.

Cause: each pool might open two connections outside the shared budget (reservedConnections, upstream/dial.go), so that no server is out of reach as others took the budget. With 3,200 servers these are 6,400 descriptors where the process has 256 to 1,024; accept fails with EMFILE then.

Change: every connection takes a descriptor of the budget. Where all are in use, the one that has been idle for longest, of any pool, is evicted; where none is idle, the pool is notified as one becomes idle or ends.

Why it works: the sum no longer depends on the number of pools, and the reserve's purpose is kept, as an idle connection is always given up.

--- a/internal/daemon/resources.go
+++ b/internal/daemon/resources.go
@@ -41,8 +41,8 @@
 	limits := d.descriptors.split.Limits()
 	d.counters.DescriptorRebalances.Add(1)
 	d.listener.SetMaxConnections(limits[admission.Clients])
-	d.descriptors.cacheServers.Resize(limits[admission.CacheServers])
-	d.descriptors.origin.Resize(limits[admission.Origin])
+	upstream.ResizeDescriptors(d.descriptors.cacheServers, limits[admission.CacheServers])
+	upstream.ResizeDescriptors(d.descriptors.origin, limits[admission.Origin])
 	d.log.Debug("descriptors were rebalanced", logs.Event, "descriptors_moved", "clients", limits[admission.Clients],
 		"targets", limits[admission.CacheServers], "origin", limits[admission.Origin])
 }
--- a/internal/testbed/simulation/node.go
+++ b/internal/testbed/simulation/node.go
@@ -164,6 +164,7 @@
 			p.codec = resp.Codec{Memory: n.responseMemory}
 			p.core = upstream.NewCore(server.Addr, p.codec, limits, cacheServers)
 		}
+		p.core.Owner = p
 		n.pools = append(n.pools, p)
 		return p
 	}
--- a/internal/testbed/simulation/pool.go
+++ b/internal/testbed/simulation/pool.go
@@ -130,11 +130,24 @@
 				p.checkNeverRan(e.Attempt, a.Outcome.String())
 			}
 			p.report(e.Attempt, e.Response)
+		case upstream.Evict:
+			owner := e.Conn.Socket.(*poolSocket).pool
+			owner.call(func(effects *upstream.Effects) { owner.core.Evicted(owner.now(), e.Conn, effects) })
+		case upstream.DescriptorAvailable:
+			owner := e.Core.Owner.(*pool)
+			owner.call(func(effects *upstream.Effects) { owner.core.DescriptorAvailable(effects) })
 		}
 	}
 	p.armTimer()
 }
 
+// call makes a call of the core and executes its effects.
+func (p *pool) call(callCore func(effects *upstream.Effects)) {
+	var effects upstream.Effects
+	callCore(&effects)
+	p.execute(effects)
+}
+
 // dial opens a connection, if the listening socket at the address accepts it.
 func (p *pool) dial(conn *upstream.Conn, addr string) {
 	world, slot := p.node.world, slotOf(addr)
--- a/internal/upstream/assign.go
+++ b/internal/upstream/assign.go
@@ -11,7 +11,7 @@
 	if attempt.NeedsNewConnection && c.dial(attempt, effects) {
 		return 0, true
 	}
-	if conn := c.availableConnection(now, attempt); conn != nil {
+	if conn := c.availableConnection(now, attempt, effects); conn != nil {
 		c.enqueue(conn, attempt, effects)
 		return 0, true
 	}
@@ -35,10 +35,8 @@
 
 // availableConnection returns a connection on which an attempt waits for little or nothing; nil if there is none, or if the load
 // justifies one more connection.
-func (c *Core) availableConnection(now time.Time, attempt *Attempt) *Conn {
-	if last := len(c.idle) - 1; last >= 0 {
-		conn := c.idle[last]
-		c.idle = c.idle[:last]
+func (c *Core) availableConnection(now time.Time, attempt *Attempt, effects *Effects) *Conn {
+	if conn := c.takeIdle(now, effects); conn != nil {
 		return conn
 	}
 	if i := slices.IndexFunc(c.conns, (*Conn).isBeingFreed); i >= 0 {
@@ -50,6 +48,19 @@
 	return nil
 }
 
+// takeIdle returns the idle connection that was used last; nil if there is none.
+func (c *Core) takeIdle(now time.Time, effects *Effects) *Conn {
+	for last := len(c.idle) - 1; last >= 0; last = len(c.idle) - 1 {
+		conn := c.idle[last]
+		c.idle = c.idle[:last]
+		if c.budget.takeIdle(conn) {
+			return conn
+		}
+		c.close(now, conn, ConnectionLost, effects)
+	}
+	return nil
+}
+
 // pipelineCandidate returns a connection with a single attempt that was sent a moment ago: the response behind that one comes
 // little later than it would on a connection that has to be opened first. A health check must not wait behind requests, nor
 // requests behind a health check.
@@ -99,6 +110,7 @@
 	case !slices.Contains(c.idle, conn):
 		conn.idleSince = now
 		c.idle = append(c.idle, conn)
+		c.budget.becameIdle(conn, effects)
 	}
 }
 
--- a/internal/upstream/close.go
+++ b/internal/upstream/close.go
@@ -18,9 +18,7 @@
 	c.idle = removeFrom(c.idle, conn)
 	effects.closeConnection(conn)
 	conn.Decoder.Release()
-	if conn.isBudgeted {
-		c.budget.release()
-	}
+	c.budget.release(conn, effects)
 	pending := conn.pending
 	conn.pending, conn.unwritten = nil, nil
 	if conn.writing != nil && slices.Contains(pending, conn.writing) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"container/list"
 	"slices"
 	"time"
 )
@@ -13,7 +14,6 @@
 	// Decoder takes the bytes that the shell reads. The shell may fill the buffer that ReadBuffer returned without the lock.
 	Decoder Decoder
 
-	isBudgeted   bool       // it has a descriptor of the shared budget
 	dialedFor    *Attempt   // the attempt that it is being opened for alone, if any
 	pending      []*Attempt // attempts without a response, in the order of their responses
 	unwritten    []*Attempt // those of pending that are not written yet, in order
@@ -21,6 +21,11 @@
 	closed       bool
 	closeOutcome Outcome   // outcome of attempts that may have been executed when it closed
 	idleSince    time.Time // meaningful while it is in Core.idle
+
+	// The fields below belong to the descriptor budget.
+
+	idleElement *list.Element // its place among the idle connections of all pools; nil while it is not idle
+	isEvicted   bool          // its descriptor was taken for another connection: it is closed next
 }
 
 // IsIdle reports whether an attempt that is written now is the only one on the connection, so that bytes which can be read already
--- a/internal/upstream/core.go
+++ b/internal/upstream/core.go
@@ -19,6 +19,9 @@
 // opened or closed, and how each attempt ends. It has no clock, sockets or goroutines: its calls take the time and collect the
 // effects to be carried out. It is not safe for concurrent use.
 type Core struct {
+	// Owner belongs to the shell.
+	Owner any
+
 	codec  Codec
 	limits Limits
 	budget *DescriptorBudget
@@ -30,6 +33,8 @@
 	dialing    int        // connections that are being opened
 	growth     growth
 	isDraining bool // the server drains or was removed: nothing new is written to it
+
+	isWaitingForDescriptor bool // belongs to the descriptor budget
 }
 
 // NewCore returns a core for the server at an address.
@@ -108,6 +113,22 @@
 	}
 }
 
+// Evicted closes an idle connection whose descriptor the budget has taken for another one.
+func (c *Core) Evicted(now time.Time, conn *Conn, effects *Effects) {
+	c.close(now, conn, ConnectionLost, effects)
+}
+
+// DescriptorAvailable says that there may be a descriptor for attempts that wait for a connection.
+func (c *Core) DescriptorAvailable(effects *Effects) {
+	if len(c.waiting) <= c.dialing {
+		c.budget.passOn(effects)
+		return
+	}
+	for len(c.waiting) > c.dialing && c.dial(nil, effects) {
+		continue
+	}
+}
+
 // Update sets the server's address and whether it drains. It returns the attempts of which nothing was written to a server that
 // drains: they end as ServerDraining, which is not reported.
 func (c *Core) Update(now time.Time, addr string, isDraining bool, effects *Effects) (unwritten []*Attempt) {
--- a/internal/upstream/core_property_test.go
+++ b/internal/upstream/core_property_test.go
@@ -62,10 +62,21 @@
 				t.Fatal("got a report of an abandoned attempt, want none")
 			}
 			m.recordEnd(t, effect.Attempt, effect.Response.Outcome)
+		case Evict:
+			m.call(t, func(effects *Effects) { m.core.Evicted(m.now, effect.Conn, effects) })
+		case DescriptorAvailable:
+			m.call(t, m.core.DescriptorAvailable)
 		}
 	}
 }
 
+// call makes a call of the core and carries out its effects.
+func (m *coreModel) call(t *rapid.T, callCore func(effects *Effects)) {
+	var effects Effects
+	callCore(&effects)
+	m.carryOut(t, effects)
+}
+
 func (m *coreModel) send(t *rapid.T) {
 	attempt := &Attempt{Request: &request.Request{}, SentAt: m.now, Deadline: m.now.Add(time.Minute),
 		NeedsNewConnection: rapid.IntRange(0, 4).Draw(t, "needs new connection") == 0}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -2,22 +2,13 @@
 
 import "time"
 
-// reservedConnections is how many connections a pool may open outside the shared descriptor budget, so that no server becomes
-// unreachable because other pools took the whole budget.
-const reservedConnections = 2
-
 // dial opens a connection if the limits allow one more, and reports whether they do. It is for dialedFor alone, unless that is nil.
 func (c *Core) dial(dialedFor *Attempt, effects *Effects) bool {
-	open := c.Connections()
-	if open >= c.limits.MaxConnections {
-		return false
-	}
-	conn := &Conn{dialedFor: dialedFor, isBudgeted: open >= reservedConnections}
-	if conn.isBudgeted && !c.budget.acquire() {
+	if c.Connections() >= c.limits.MaxConnections || !c.budget.acquire(c, effects) {
 		return false
 	}
 	c.dialing++
-	effects.dial(conn, c.addr)
+	effects.dial(&Conn{dialedFor: dialedFor}, c.addr)
 	return true
 }
 
@@ -57,9 +48,7 @@
 
 // dialFailed ends the attempt that the connection was opened for, or the one that has waited for longest.
 func (c *Core) dialFailed(conn *Conn, dialedFor *Attempt, effects *Effects) {
-	if conn.isBudgeted {
-		c.budget.release()
-	}
+	c.budget.release(conn, effects)
 	failed := dialedFor
 	if failed == nil && len(c.waiting) > 0 {
 		failed = c.popWaiting()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -31,8 +31,10 @@
 // connection.
 func NewPool(addr string, codec Codec, limits Limits, budget *DescriptorBudget, reportOutcome func(*Attempt, Response),
 	opened func()) *Pool {
-	return &Pool{codec: codec, connectTimeout: limits.ConnectTimeout, reportOutcome: reportOutcome, opened: opened,
+	p := &Pool{codec: codec, connectTimeout: limits.ConnectTimeout, reportOutcome: reportOutcome, opened: opened,
 		core: NewCore(addr, codec, limits, budget)}
+	p.core.Owner = p
+	return p
 }
 
 // Send starts an attempt. If it returns false the attempt has already ended with the returned outcome.
@@ -123,6 +125,29 @@
 			} else {
 				p.reportOutcome(attempt, response)
 			}
+		case Evict, DescriptorAvailable:
+			carryOutElsewhere(effect)
 		}
 	}
 }
+
+// carryOutElsewhere carries out an effect that concerns a connection or a core of any pool. The caller holds no lock.
+func carryOutElsewhere(effect *Effect) {
+	switch effect.Kind {
+	case Evict:
+		owner := socketOf(effect.Conn).pool
+		owner.call(func(now time.Time, effects *Effects) { owner.core.Evicted(now, effect.Conn, effects) })
+	case DescriptorAvailable:
+		owner := effect.Core.Owner.(*Pool)
+		owner.call(func(_ time.Time, effects *Effects) { owner.core.DescriptorAvailable(effects) })
+	}
+}
+
+// ResizeDescriptors changes the size of a budget that pools share, and closes the idle connections that it does not allow any more.
+func ResizeDescriptors(budget *DescriptorBudget, n int) {
+	var effects Effects
+	budget.Resize(n, &effects)
+	for i := range effects {
+		carryOutElsewhere(&effects[i])
+	}
+}
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -14,6 +14,7 @@
 
 // socket is the pool's part of a connection.
 type socket struct {
+	pool *Pool
 	conn net.Conn
 	raw  syscall.RawConn
 	// notify holds an element while there may be something to write, or the connection has been closed. It is never closed: the
@@ -21,9 +22,9 @@
 	notify chan struct{}
 }
 
-func newSocket(conn net.Conn) *socket {
+func newSocket(pool *Pool, conn net.Conn) *socket {
 	raw, _ := conn.(syscall.Conn).SyscallConn() // a TCP connection has one
-	return &socket{conn: conn, raw: raw, notify: make(chan struct{}, 1)}
+	return &socket{pool: pool, conn: conn, raw: raw, notify: make(chan struct{}, 1)}
 }
 
 func socketOf(conn *Conn) *socket { return conn.Socket.(*socket) }
@@ -68,7 +69,7 @@
 	netConn, err := dialer.DialContext(context.Background(), "tcp", addr)
 	isEstablished := err == nil
 	if isEstablished {
-		conn.Socket = newSocket(netConn)
+		conn.Socket = newSocket(p, netConn)
 		p.opened()
 	}
 	var effects Effects
