Judge the servers that a node has not met together, and budget ejections once a round

Cause: assess (policy/outlier.go) calls limitEjections, which visits and sorts all servers, for every server in each round of upkeep and for every outcome: 3,200 times 3,200 visits four times a second. Without a budget a round computed two decaying gauges for each server, met or not. The same class as the choice of servers: work for each pair, or for each server, in one step of the event loop.

Change: a round compares all servers first and grants the budget once; an outcome grants it anew only if it changed what the server would give up. A server without recent samples does as well as those that it is measured with, computed once. slotOrder scans a compact array whose entries tell at a glance that a server has no low score, and ranks as many servers as are likely to be asked for, twice as many each time.

TestServersWithoutSlotsEndTheOrder: a server that starts with no capacity at all has an infinite score and is in no order.

--- a/internal/policy/hedging.go
+++ b/internal/policy/hedging.go
@@ -22,7 +22,8 @@
 // twice that where many of its answers are slow, a few at a time while the origin is quiet. Under a general overload
 // it would only add to the work.
 func (r *Router) hedgeSlowReads(srv *server) {
-	if r.cacheGauge.slowFraction(r.now) > calmUtilisation || !r.originHasCapacity(calmUtilisation) {
+	if len(srv.gauge.inFlight) == 0 || r.cacheGauge.slowFraction(r.now) > calmUtilisation ||
+		!r.originHasCapacity(calmUtilisation) {
 		return
 	}
 	patience := srv.gauge.max
--- a/internal/policy/outlier.go
+++ b/internal/policy/outlier.go
@@ -8,7 +8,27 @@
 
 // assess compares a server with the others anew: one that does worse gives up a part of its slots.
 func (r *Router) assess(srv *server) {
+	before := srv.assessment.EjectionFraction()
 	srv.assessment.Update(srv.gauge.slowFraction(r.now), r.cacheGauge.slowFraction(r.now))
+	if srv.assessment.EjectionFraction() != before { // else the others' budget is as it was
+		r.limitEjections()
+	}
+}
+
+// assessAll compares all servers with each other. Most of thousands have no recent samples: these do as well as those
+// that are measured together with them.
+func (r *Router) assessAll() {
+	ofAll, ofZone := r.cacheGauge.slowFraction(r.now), r.zoneGauge.slowFraction(r.now)
+	for _, listed := range r.keyServers {
+		srv, slowFraction := listed.server, ofAll
+		switch {
+		case !srv.gauge.isUnused():
+			slowFraction = srv.gauge.slowFraction(r.now)
+		case srv.gauge.aggregate == &r.zoneGauge:
+			slowFraction = ofZone
+		}
+		srv.assessment.Update(slowFraction, ofAll)
+	}
 	r.limitEjections()
 }
 
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -38,12 +38,13 @@
 	servers             []*server // sorted by id
 	serverByID          map[string]*server
 	serverByFingerprint map[gossip.Fingerprint]*server
-	keyServers          []*server     // those of servers that serve keys
+	keyServers          []keyServer   // those of servers that serve keys, in the same order
 	ranked              rankedServers // reused by one slotOrder after the other
 	zones               map[string]*zone
 	ownZone             *zone
 	cacheGauge          gauge   // of all cache servers
 	zoneGauge           gauge   // of the cache servers of the own zone
+	totalWeight         float64 // of the cache servers that are listed for work
 	zoneFraction        float64 // of all cache servers' weights, that of the own zone
 	activeServers       float64 // cache servers that are listed for work, also unresponsive ones
 	meanCapacity        float64 // of these
--- a/internal/policy/server.go
+++ b/internal/policy/server.go
@@ -110,20 +110,21 @@
 func (r *Router) countActiveServers() {
 	clear(r.keyServers) // those that are not listed any more must not stay in memory
 	r.keyServers, r.activeServers, r.meanCapacity = r.keyServers[:0], 0, 0
-	var zoneWeight, totalWeight float64
+	var zoneWeight float64
+	r.totalWeight = 0
 	for _, srv := range r.servers {
 		if !r.servesKeys(srv) {
 			continue
 		}
-		r.keyServers = append(r.keyServers, srv)
 		r.activeServers++
 		r.meanCapacity += srv.Capacity
 		weight := r.capacityWeight(srv)
-		totalWeight += weight
+		r.totalWeight += weight
+		r.keyServers = append(r.keyServers, keyServer{hash: srv.hash, maxWeight: weight, server: srv})
 		if srv.zone == r.ownZone {
 			zoneWeight += weight
 		}
 	}
-	r.zoneFraction = zoneWeight / max(totalWeight, minTotalWeight)
+	r.zoneFraction = zoneWeight / max(r.totalWeight, minTotalWeight)
 	r.meanCapacity /= max(r.activeServers, 1)
 }
--- a/internal/policy/slotorder.go
+++ b/internal/policy/slotorder.go
@@ -6,79 +6,104 @@
 )
 
 // slotOrder yields the cache servers that a request for a slot may go to, in the order of weighted rendezvous hashing:
-// the owner of the slot first. Routers agree on the order without communicating. All servers are looked at once for the
-// owner, and once more for all the others together, however many of these are asked for. An order is valid until the
-// router's next event.
+// the owner of the slot first. Routers agree on the order without communicating. An order is valid until the router's
+// next event, or until the router returns another one.
+//
+// Servers are looked at all together, the owner first, then as many as are expected to be asked for, twice as many each
+// time: so a key that is spread over many servers costs little more than one that is not.
 type slotOrder struct {
 	router    *Router
 	slot      uint64
 	req       *request
-	yielded   int
-	remaining rankedServers // a heap, from the second server on
+	hasOwner  bool          // the owner was yielded
+	last      float64       // score of the server that was yielded last
+	limit     float64       // up to which scores have been ranked
+	step      float64       // by which limit grows next
+	isRanked  bool          // no server has a score above limit
+	remaining rankedServers // a heap of those with scores from last to limit
 }
 
-// orderOf returns the order of the servers for a slot, as far as the request may go there. It ends the order that was
-// returned before.
+// firstRankedServers is how many servers are expected among those that are ranked first.
+const firstRankedServers = 8
+
+// keyServer is a server that serves keys, with what tells at a glance that it has no low score for a slot.
+type keyServer struct {
+	hash      uint64
+	maxWeight float64 // of the server's weights at any time
+	server    *server
+}
+
+// orderOf returns the order of the servers for a slot, as far as the request may go there.
 func (r *Router) orderOf(slot uint64, req *request) slotOrder {
-	return slotOrder{router: r, slot: slot, req: req}
+	step := firstRankedServers / max(r.totalWeight, minTotalWeight)
+	return slotOrder{router: r, slot: slot, req: req, step: step, remaining: r.ranked[:0]}
 }
 
 // next returns the next server of the order; nil at its end.
 func (o *slotOrder) next() *server {
-	o.yielded++
-	if o.yielded == 1 {
-		return o.owner()
+	if !o.hasOwner {
+		o.hasOwner = true
+		owner, score := o.owner()
+		o.last, o.limit = score, score
+		return owner
 	}
-	if o.yielded == 2 {
+	for len(o.remaining) == 0 && !o.isRanked {
 		o.rank()
-		o.drop() // the owner
 	}
 	if len(o.remaining) == 0 {
 		return nil
 	}
-	first := o.remaining[0].server
+	first := o.remaining[0]
+	o.last = first.score
 	o.drop()
-	return first
+	return first.server
 }
 
-// owner returns the server with the lowest score, or nil.
-func (o *slotOrder) owner() (best *server) {
-	lowest := math.Inf(1)
-	for _, srv := range o.router.keyServers {
-		if !o.includes(srv) {
-			continue
+// owner returns the server with the lowest score, and the score; nil if there is none.
+func (o *slotOrder) owner() (best *server, lowest float64) {
+	lowest = math.Inf(1)
+	for i := range o.router.keyServers {
+		candidate := &o.router.keyServers[i]
+		draw := o.draw(candidate)
+		if 1-draw >= lowest*candidate.maxWeight || !o.includes(candidate.server) {
+			continue // the first: -log(draw) is no less than 1-draw; this spares most of the logarithms
 		}
-		weight, draw := o.router.rendezvousWeight(srv), o.draw(srv)
-		if 1-draw >= lowest*weight { // cannot win, as -log(draw) is no less; spares most of the logarithms
-			continue
-		}
-		if score := -math.Log(draw) / weight; score > 0 && score < lowest {
-			best, lowest = srv, score
+		if score := o.score(candidate.server, draw); score < lowest {
+			best, lowest = candidate.server, score
 		}
 	}
-	return best
+	return best, lowest
 }
 
-// rank puts all servers of the order into the heap.
+// rank puts the next servers into the heap, which is empty.
 func (o *slotOrder) rank() {
-	o.remaining = o.router.ranked[:0]
-	for _, srv := range o.router.keyServers {
-		if !o.includes(srv) {
+	from := o.limit
+	o.limit += o.step
+	o.step *= 2
+	o.isRanked = true
+	for i := range o.router.keyServers {
+		candidate := &o.router.keyServers[i]
+		draw := o.draw(candidate)
+		if 1-draw >= o.limit*candidate.maxWeight {
+			o.isRanked = false
 			continue
 		}
-		score := -math.Log(o.draw(srv)) / o.router.rendezvousWeight(srv)
-		o.remaining = append(o.remaining, rankedServer{score: score, server: srv})
+		score := o.score(candidate.server, draw)
+		switch {
+		case math.IsInf(score, 1): // it has no slots yet
+		case score >= o.limit:
+			o.isRanked = false
+		case score >= from && score > o.last && o.includes(candidate.server):
+			o.remaining = append(o.remaining, rankedServer{score: score, server: candidate.server})
+		}
 	}
-	o.router.ranked = o.remaining
 	heap.Init(&o.remaining)
+	o.router.ranked = o.remaining
 }
 
-// drop takes the first server out of the heap, if there is one.
+// drop takes the first server out of the heap.
 func (o *slotOrder) drop() {
 	last := len(o.remaining) - 1
-	if last < 0 {
-		return
-	}
 	o.remaining[0] = o.remaining[last]
 	o.remaining = o.remaining[:last]
 	if last > 1 {
@@ -92,9 +117,16 @@
 }
 
 // draw is the server's draw for the slot, the same at every router.
-func (o *slotOrder) draw(srv *server) float64 { return unitInterval(mix(o.slot ^ srv.hash)) }
+func (o *slotOrder) draw(candidate *keyServer) float64 {
+	return unitInterval(mix(o.slot ^ candidate.hash))
+}
+
+// score is what the order is by, the lowest first.
+func (o *slotOrder) score(srv *server, draw float64) float64 {
+	return -math.Log(draw) / o.router.rendezvousWeight(srv)
+}
 
-// rankedServer is a server with its score for a slot; the lowest score is first.
+// rankedServer is a server with its score for a slot.
 type rankedServer struct {
 	score  float64
 	server *server
--- a/internal/policy/slotorder_test.go
+++ b/internal/policy/slotorder_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"shelfproxy/internal/fleet/gossip"
+	"shelfproxy/internal/policy/outlier"
 )
 
 // newWideDriver returns the driver of a router with many cache servers in two zones, of different sizes.
@@ -30,18 +31,21 @@
 func TestSlotOrderIsThatOfTheScores(t *testing.T) {
 	driver := newWideDriver(t, 40)
 	router := driver.router
-	router.keyServers[3].isUnresponsive = true
-	router.keyServers[7].assessment.KeptFraction = 0.5
-	driver.restart(router.keyServers[11].ID, "b")
-	avoided := &request{avoidedServer: router.keyServers[19]}
+	router.keyServers[3].server.isUnresponsive = true
+	router.keyServers[7].server.assessment.KeptFraction = 0.5
+	driver.restart(router.keyServers[11].server.ID, "b")
+	avoided := &request{avoidedServer: router.keyServers[19].server}
 	for i := range 50 {
 		slot := slotOf(fmt.Sprint("k", i))
 		score := func(srv *server) float64 {
 			return -math.Log(unitInterval(mix(slot^srv.hash))) / router.rendezvousWeight(srv)
 		}
-		want := slices.DeleteFunc(slices.Clone(router.keyServers), func(srv *server) bool {
-			return !keepsSlot(srv, slot) || srv.isUnresponsive || avoided.avoids(srv)
-		})
+		var want []*server
+		for _, listed := range router.keyServers {
+			if srv := listed.server; keepsSlot(srv, slot) && !srv.isUnresponsive && !avoided.avoids(srv) {
+				want = append(want, srv)
+			}
+		}
 		slices.SortFunc(want, func(a, b *server) int { return int(math.Copysign(1, score(a)-score(b))) })
 		var got []*server
 		order := router.orderOf(slot, avoided)
@@ -94,3 +98,32 @@
 		}
 	})
 }
+
+// The same of what operators ask for: each of these held up the event loop for as long.
+func TestCostOfUpkeepAndExplanationsFollowsTheNumberOfServers(t *testing.T) {
+	checkGrowth(t, "an explanation", func(driver *routerDriver) { driver.router.Explain(driver.now, popularKey) })
+	checkGrowth(t, "upkeep with an ejection budget", func(driver *routerDriver) {
+		driver.router.ejectionBudget = outlier.Budget{MaxFraction: 0.3}
+		driver.runUpkeep()
+	})
+	checkGrowth(t, "outcomes with an ejection budget", func(driver *routerDriver) {
+		driver.router.ejectionBudget = outlier.Budget{MaxFraction: 0.3}
+		driver.readOtherKeys(50)
+	})
+}
+
+// TestServersWithoutSlotsEndTheOrder: servers that have just started where they begin with nothing.
+func TestServersWithoutSlotsEndTheOrder(t *testing.T) {
+	driver := newWideDriver(t, 12)
+	driver.router.settings.SlowStartFloor = 0
+	for _, listed := range slices.Clone(driver.router.keyServers[:6]) {
+		driver.restart(listed.server.ID, "a")
+	}
+	order, count := driver.router.orderOf(slotOf("k"), &request{}), 0
+	for srv := order.next(); srv != nil; srv = order.next() {
+		count++
+	}
+	if count != 6 {
+		t.Errorf("%d servers have slots, want 6", count)
+	}
+}
--- a/internal/policy/upkeep.go
+++ b/internal/policy/upkeep.go
@@ -26,10 +26,10 @@
 func (r *Router) upkeep() {
 	r.emit(SetTimer{At: r.now + upkeepInterval, Token: upkeepToken})
 	r.pruneKeyCounts()
-	for _, srv := range r.keyServers {
-		r.assess(srv)
-		r.hedgeSlowReads(srv)
-		r.checkIfQuiet(srv)
+	r.assessAll()
+	for _, listed := range r.keyServers {
+		r.hedgeSlowReads(listed.server)
+		r.checkIfQuiet(listed.server)
 	}
 	if r.settings.CrossZoneCost > 0 && r.origin != nil {
 		r.crossZoneWeight.Step(locality.Load{
--- a/internal/policy/utilisation.go
+++ b/internal/policy/utilisation.go
@@ -125,6 +125,9 @@
 	return slow
 }
 
+// isUnused reports whether nothing is measured: the gauge says what its aggregate says.
+func (g *gauge) isUnused() bool { return g.samples == 0 && len(g.inFlight) == 0 }
+
 // fade reduces the weight of earlier samples: fast while there are plenty, slowly once fewer than minLatencySamples
 // are left. A router among hundreds fetches every few seconds, and judges by the last few fetches.
 func (g *gauge) fade(now Time) {
