Apply a change of the endpoint list at the cost of its entries

Callers saw: no request served for seconds while many servers came or went one by one.

Cause: Core.withSuperseded (node/endpoints.go) sorted all endpoints and indexed them by address for every change, also for one of a single entry, and forgetRemoved visited all. At 3,200 servers that took 2.9 ms; updates of the list go before everything else in the event loop, so 500 of them held it up for 5 s on 0.29 of a core. Each known server also had a connection pool from the start.

Evidence: the first reproduction (2,000 servers, 500 of them back one by one): nothing served for 4 s, 34% of the profile in updateEndpoints.

Change: endpoints are kept by address, so that a change looks at those at its own addresses; removed endpoints are kept apart; a pool is made as it is first used; the list of the configuration is dropped once taken.

--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -151,6 +151,7 @@
 		Log:      logs.Component(d.rootLog, "node"),
 	})
 	d.node = created
+	d.updateConfig(func(cfg *config.Config) { cfg.InitialList = discovery.List{} }) // the node has it
 	return err
 }
 
--- a/internal/node/actions.go
+++ b/internal/node/actions.go
@@ -49,7 +49,7 @@
 }
 
 func (c *Core) closeIdle(id string) {
-	if endpoint := c.endpoints[id]; endpoint != nil {
+	if endpoint := c.endpoints[id]; endpoint != nil && endpoint.pool != nil {
 		endpoint.pool.CloseIdle()
 	}
 }
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -20,7 +20,7 @@
 	c.options.Counters.AttemptSent(open.class)
 	outcome, isInFlight := upstream.NotSent, false
 	if endpoint != nil && !open.isAnswered && !open.IsCancelled() && c.environment.Now().Before(open.deadline) {
-		outcome, isInFlight = endpoint.pool.Send(attempt)
+		outcome, isInFlight = c.upstreamOf(endpoint).Send(attempt)
 	}
 	if endpoint != nil {
 		endpoint.inFlight++
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -49,11 +49,13 @@
 	drainDeadline time.Time     // while draining: no request is answered later
 	drained       chan struct{} // closed by checkDrained when the core drains and owes no response any more
 
-	endpoints      map[string]*endpoint // by id
-	listValidator  discovery.ListValidator
-	stopWatch      func() // nil before the first watch
-	watchNumber    int    // of the current watch; reports of earlier ones are dropped
-	isWatchHealthy bool
+	endpoints        map[string]*endpoint   // by id
+	endpointsAt      map[string][]*endpoint // by address
+	removedEndpoints map[string]*endpoint   // those of endpoints that are removed and have attempts, by id
+	listValidator    discovery.ListValidator
+	stopWatch        func() // nil before the first watch
+	watchNumber      int    // of the current watch; reports of earlier ones are dropped
+	isWatchHealthy   bool
 }
 
 // NewCore returns a core. The error is the policy's about its settings. Start is to be called first.
@@ -64,7 +66,8 @@
 	}
 	core := &Core{options: options, environment: environment, router: router, drained: make(chan struct{}), start: environment.Now(),
 		classes: map[string]int{}, requests: map[uint64]*openRequest{}, byRequest: map[*request.Request]*openRequest{},
-		ids: map[string]bool{}, endpoints: map[string]*endpoint{}, requestLog: newRequestLog(options.Log, options.Counters)}
+		ids: map[string]bool{}, endpoints: map[string]*endpoint{},
+		endpointsAt: map[string][]*endpoint{}, removedEndpoints: map[string]*endpoint{}, requestLog: newRequestLog(options.Log, options.Counters)}
 	core.memory.Limit = options.MaxRequestBytes
 	for i, class := range options.Policy.Classes {
 		core.classes[class.Name] = i
@@ -76,6 +79,7 @@
 func (c *Core) Start() {
 	c.listValidator.SetVersion(c.options.InitialList.Version)
 	c.updateEndpoints(c.options.InitialList, policy.CachedList)
+	c.options.InitialList = discovery.List{} // it would stay in memory
 	if c.isListPushed() {
 		c.subscribe()
 	}
--- a/internal/node/healthcheck.go
+++ b/internal/node/healthcheck.go
@@ -21,7 +21,7 @@
 	now := c.environment.Now()
 	check := &upstream.Attempt{Server: id, SentAt: now, Deadline: now.Add(healthCheckTimeout)}
 	endpoint.healthChecks = append(endpoint.healthChecks, check)
-	if outcome, ok := endpoint.pool.Send(check); !ok {
+	if outcome, ok := c.upstreamOf(endpoint).Send(check); !ok {
 		c.endHealthCheck(endpoint, check, outcome)
 		return
 	}
