Decide once a round whether reads are hedged, as the origin's samples fade by it

Cause: skipped servers without attempts before it looked at the origin (policy/hedging.go).

Change: whether reads may be hedged is decided once a round, before the servers are looked at.

--- a/internal/policy/hedging.go
+++ b/internal/policy/hedging.go
@@ -18,12 +18,15 @@
 	r.emit(Cancel{ID: attempt.request.ID, Attempt: index})
 }
 
+// mayHedge reports whether slow reads are moved to the origin: under a general overload it would only add to the work.
+func (r *Router) mayHedge() bool {
+	return r.cacheGauge.slowFraction(r.now) <= calmUtilisation && r.originHasCapacity(calmUtilisation)
+}
+
 // hedgeSlowReads moves reads that have been in flight at a cache server for longer than its maximum to the origin,
-// twice that where many of its answers are slow, a few at a time while the origin is quiet. Under a general overload
-// it would only add to the work.
+// twice that where many of its answers are slow, a few at a time.
 func (r *Router) hedgeSlowReads(srv *server) {
-	if len(srv.gauge.inFlight) == 0 || r.cacheGauge.slowFraction(r.now) > calmUtilisation ||
-		!r.originHasCapacity(calmUtilisation) {
+	if len(srv.gauge.inFlight) == 0 {
 		return
 	}
 	patience := srv.gauge.max
--- a/internal/policy/upkeep.go
+++ b/internal/policy/upkeep.go
@@ -22,14 +22,23 @@
 	r.emit(SetTimer{At: r.now + r.jitter(upkeepInterval), Token: upkeepToken})
 }
 
+// superviseServers hedges slow reads, where that may be done, and looks for servers that no longer respond.
+func (r *Router) superviseServers(mayHedge bool) {
+	for _, listed := range r.keyServers {
+		if mayHedge {
+			r.hedgeSlowReads(listed.server)
+		}
+		r.checkIfQuiet(listed.server)
+	}
+}
+
 // upkeep is the periodic work: it looks for servers that no longer respond, hedges slow reads, and polls discovery.
 func (r *Router) upkeep() {
 	r.emit(SetTimer{At: r.now + upkeepInterval, Token: upkeepToken})
 	r.pruneKeyCounts()
-	r.assessAll()
-	for _, listed := range r.keyServers {
-		r.hedgeSlowReads(listed.server)
-		r.checkIfQuiet(listed.server)
+	if len(r.keyServers) > 0 {
+		r.assessAll()
+		r.superviseServers(r.mayHedge())
 	}
 	if r.settings.CrossZoneCost > 0 && r.origin != nil {
 		r.crossZoneWeight.Step(locality.Load{
