--- a/tests/harness/node.go
+++ b/tests/harness/node.go
@@ -19,6 +19,7 @@
 type Node struct {
 	Config    Config
 	Edits     []ConfigEdit // applied to the configuration when it is written
+	Operator  string       // text of the operators' file; empty for none
 	Discovery *Discovery
 	Origin    *Origin
 	Log       *Log
@@ -116,6 +117,11 @@
 	n.t.Helper()
 	cmd := n.Command()
 	cmd.Stderr = n.Log
+	if n.Operator != "" {
+		path := filepath.Join(n.t.TempDir(), "operator.toml")
+		WriteFile(n.t, path, n.Operator)
+		cmd.Args = append(cmd.Args, "--file", path)
+	}
 	n.Process = StartProcess(n.t, cmd)
 	n.t.Cleanup(func() {
 		if err := n.Process.Terminate(); err != nil {
