End a client's connection only after looking for commands that came on it

Cause: whether a connection is idle was decided by what the listener had read (listener.Core.closeIdle, HasCapacity, Drain, WriteCompleted). A process that stood still sees its timers before the bytes that came meanwhile; it closed the connection and discarded them. Between the reader's read and its call of the core lay the same gap. And a connection that was closed after its responses was closed over commands that were read and not decoded yet, as more were pipelined than may wait: three of four pings answered in a drain, then the end.

Change: a connection on which nothing is owed ends in two steps. The core asks for unread bytes (CheckUnread); the reader, which alone reads, asks the kernel and answers (UnreadChecked). With unread bytes a connection that was idle stays, in a drain it is closed after the response; past the drain's deadline a client that goes on sending is kept once more. Commands that are read are decoded first. Peeking at a socket stood in three places and is socketstate now. A connection counts as closed when it is.

Why it works: no timer ends a connection any more, only a reader that found nothing to read.

Left: bytes that come between the reader's look and the end cross it, as before.

--- a/internal/admission/connection_table.go
+++ b/internal/admission/connection_table.go
@@ -4,8 +4,8 @@
 // wait in the order in which they became idle, so the next to expire is always at the head of one of a few queues: an
 // event costs the same however many connections there are, and the table is never scanned.
 //
-// It closes nothing itself: ExpireIdle, Admit and NextStuck give connections up, each at most once, and the caller closes
-// them and calls Closed.
+// It closes nothing itself: ExpireIdle, Admit and NextStuck give connections up, and the caller closes them and calls
+// Closed, or Retain for one that turns out not to be idle.
 type ConnectionTable struct {
 	policy      ConnectionPolicy
 	connections map[uint64]*connection
@@ -106,6 +106,19 @@
 	t.growth.record(now, -1)
 }
 
+// Retain takes back that a connection was given up: it is not idle. Its timeout counts from when it did before.
+func (t *ConnectionTable) Retain(id uint64) {
+	c := t.connections[id]
+	if c == nil || !c.isClosing {
+		return
+	}
+	c.isClosing = false
+	t.closing--
+	if c.openCommands == 0 {
+		t.enqueue(c)
+	}
+}
+
 // enqueue puts an idle connection at its place among the others, unless it was given up.
 func (t *ConnectionTable) enqueue(c *connection) {
 	c.unlink()
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -22,6 +22,8 @@
 	isPaused            bool            // as many responses are owed as may be: further commands wait
 	isFramingBroken     bool            // nothing more is read
 	closeAfterResponses bool            // close once everything that is owed is written
+	isCheckingUnread    bool            // close once the shell has found that nothing came that is not read
+	hasLastCheck        bool            // it was kept open past the drain's deadline once
 	endReason           EndReason       // why it is closed, once it is to be
 	end                 End             // valid once isClosed is set
 	isClosed            bool
--- a/internal/listener/core.go
+++ b/internal/listener/core.go
@@ -69,7 +69,6 @@
 		c.capacityExhausted++
 	}
 	if hasVictim {
-		c.count.ClosedForCapacity.Add(1)
 		c.finish(now, c.conns[victim], EndedForCapacity, effects)
 	}
 	return hasCapacity || c.isDraining
@@ -94,10 +93,21 @@
 	}
 	conn.framing.bytesRead(n)
 	c.decode(now, conn, effects)
+	c.closeIfDone(now, conn, effects)
 }
 
 // Resume goes on with what a paused connection has already sent.
-func (c *Core) Resume(now time.Time, conn *Conn, effects *Effects) { c.decode(now, conn, effects) }
+func (c *Core) Resume(now time.Time, conn *Conn, effects *Effects) {
+	c.decode(now, conn, effects)
+	c.closeIfDone(now, conn, effects)
+}
+
+// closeIfDone closes a connection that is to be closed if nothing is owed on it and no command has begun.
+func (c *Core) closeIfDone(now time.Time, conn *Conn, effects *Effects) {
+	if conn.closeAfterResponses && len(conn.slots) == 0 && !conn.framing.hasPartialCommand() {
+		c.closeUnlessUnread(now, conn, effects)
+	}
+}
 
 // ConnectionEnded says that the client closed the connection, or that it broke.
 func (c *Core) ConnectionEnded(now time.Time, conn *Conn, effects *Effects) {
@@ -110,12 +120,52 @@
 
 // finish closes a connection once everything that is owed on it is written.
 func (c *Core) finish(now time.Time, conn *Conn, reason EndReason, effects *Effects) {
-	if !conn.closeAfterResponses {
+	if !conn.closeAfterResponses || reason == EndedByDrain {
 		conn.closeAfterResponses, conn.endReason = true, reason
 	}
 	if len(conn.slots) == 0 {
+		c.closeUnlessUnread(now, conn, effects)
+	}
+}
+
+// closeUnlessUnread closes a connection on which nothing is owed, unless a command came that is not read yet, or that is read and not
+// decoded: its client would wait for the response in vain. A process that did not run for a while sees its timers before the bytes.
+func (c *Core) closeUnlessUnread(now time.Time, conn *Conn, effects *Effects) {
+	switch {
+	case conn.isFramingBroken || conn.endReason == EndedByQuit: // nothing more is owed
+		c.closeInOrder(now, conn, effects)
+	case conn.isPaused: // what is read may hold commands
+		effects.add(ResumeReading, conn, nil)
+	case !conn.isClosed && !conn.isCheckingUnread:
+		conn.isCheckingUnread = true
+		effects.add(CheckUnread, conn, nil)
+	}
+}
+
+// UnreadChecked says whether bytes of a connection came that are not read. The caller is whoever reads the connection, so that no bytes
+// are on their way to the core.
+func (c *Core) UnreadChecked(now time.Time, conn *Conn, hasUnread bool, effects *Effects) {
+	conn.isCheckingUnread = false
+	switch {
+	case conn.isClosed || !conn.closeAfterResponses:
+	case len(conn.slots) == 0 && !conn.isPaused && (!hasUnread || c.isCheckedEnough(now, conn)):
 		c.closeInOrder(now, conn, effects)
+	case conn.endReason != EndedByDrain: // it is not idle after all
+		conn.closeAfterResponses = false
+		c.table.Retain(conn.id)
+		effects.capacityAvailable()
+	}
+}
+
+// isCheckedEnough reports whether a connection is closed though its client goes on sending: past the drain's deadline it is kept open
+// once more.
+func (c *Core) isCheckedEnough(now time.Time, conn *Conn) bool {
+	if !c.isDraining || now.Before(c.drainDeadline) {
+		return false
 	}
+	isLast := conn.hasLastCheck
+	conn.hasLastCheck = true
+	return isLast
 }
 
 // close closes a connection at once.
@@ -148,10 +198,25 @@
 	conn.isClosed = true
 	conn.end = End{ConnectionID: conn.id, Reason: conn.endReason, Owed: conn.owedRequests()}
 	effects.add(ReportEnd, conn, nil)
+	c.countEnd(conn.endReason)
 	delete(c.conns, conn.id)
 	c.table.Closed(c.tableTime(now), conn.id)
 }
 
+// countEnd counts a connection that the node has ended.
+func (c *Core) countEnd(reason EndReason) {
+	switch reason {
+	case EndedIdle:
+		c.count.ClosedIdle.Add(1)
+	case EndedWithoutCommand:
+		c.count.ClosedWithoutCommand.Add(1)
+	case EndedForCapacity:
+		c.count.ClosedForCapacity.Add(1)
+	case EndedStuck:
+		c.count.ClosedStuck.Add(1)
+	}
+}
+
 // cancelRequests tells the requests that wait for their responses that their client has disconnected. It ends the closing of a
 // connection.
 func (c *Core) cancelRequests(conn *Conn, effects *Effects) {
--- a/internal/listener/core_property_test.go
+++ b/internal/listener/core_property_test.go
@@ -24,6 +24,7 @@
 	received   string   // of the write that is going on
 	isWriting  bool
 	isEnded    bool
+	isCheckDue bool // the core wants to know of unread bytes
 }
 
 // modelRequest is a request that the core has handed to its handler.
@@ -68,8 +69,10 @@
 			m.requests[string(effect.Request.ID)] = &modelRequest{Request: effect.Request}
 		case ClientDisconnected:
 			m.recordDisconnect(t, effect.Request)
+		case CheckUnread:
+			m.clientOf(effect.Conn).isCheckDue = true
 		case HalfClose:
-			m.clientOf(effect.Conn).isEnded = true
+			m.checkOrderlyEnd(t, m.clientOf(effect.Conn))
 		case CloseConnection:
 			if effect.Conn.IsLingering() {
 				t.Fatal("got a closed connection that lingers, want it to linger no longer")
@@ -121,6 +124,35 @@
 	}
 }
 
+// checkOrderlyEnd checks that nothing is owed on a connection that the core closes in order: no command that it has read is left
+// without a response, nor one that it could have read, but that a client may send on past the drain's deadline.
+func (m *coreModel) checkOrderlyEnd(t *rapid.T, client *modelClient) {
+	client.isEnded = true
+	isPastDrain := m.core.isDraining && !m.now.Before(m.core.drainDeadline)
+	if len(client.sent) > 0 && !isPastDrain {
+		t.Fatalf("got a connection closed in order with %d unread bytes, want it kept", len(client.sent))
+	}
+	unread := strings.Count(string(client.sent), "CACHE.GET") + strings.Count(string(client.sent), "HELLO")
+	read := len(client.unanswered) - unread
+	if client.conn.framing.hasPartialCommand() {
+		read--
+	}
+	if read > 0 {
+		t.Fatalf("got a connection closed in order with %d commands read and without a response, want none", read)
+	}
+}
+
+// checkUnread tells the core of unread bytes, if it wants to know.
+func (m *coreModel) checkUnread(t *rapid.T, client *modelClient) {
+	if !client.isCheckDue {
+		return
+	}
+	client.isCheckDue = false
+	var effects Effects
+	m.core.UnreadChecked(m.now, client.conn, len(client.sent) > 0, &effects)
+	m.carryOut(t, effects)
+}
+
 // checkReceived reads the complete responses that a client received: they must be those of its commands, in order.
 func (m *coreModel) checkReceived(t *rapid.T, client *modelClient) {
 	for client.received != "" {
@@ -248,6 +280,7 @@
 		for _, client := range m.clients {
 			m.deliver(t, client)
 			m.write(t, client, true)
+			m.checkUnread(t, client)
 		}
 	}
 	for _, client := range m.clients {
@@ -258,6 +291,9 @@
 	var effects Effects
 	m.core.Drain(m.now, &effects)
 	m.carryOut(t, effects)
+	for _, client := range m.clients {
+		m.checkUnread(t, client)
+	}
 	m.now = m.now.Add(lingerTimeout) // lingering connections end by themselves
 	m.expireIdle(t)
 	if used, _ := m.core.Usage(); used != 0 || len(m.core.conns) != 0 {
@@ -267,7 +303,7 @@
 
 // TestCoreKeepsItsInvariantsInAnyOrderOfCalls calls a core in any order that a shell could: each command gets one response, in order
 // and with what its handler replied; a handler is told once of a client that disconnected; no more commands wait for responses than
-// may; invalid commands get an error; and nothing is left in the end.
+// may; invalid commands get an error; no connection is closed in order over unread bytes; and nothing is left in the end.
 func TestCoreKeepsItsInvariantsInAnyOrderOfCalls(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		model := newCoreModel(t)
@@ -286,6 +322,18 @@
 					model.write(t, client, rapid.IntRange(0, 9).Draw(t, "is written") > 0)
 				}
 			},
+			"check unread": func(t *rapid.T) {
+				if client := model.pickClient(t); client != nil {
+					model.checkUnread(t, client)
+				}
+			},
+			"drain": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "really") == 0 {
+					var effects Effects
+					model.core.Drain(model.now, &effects)
+					model.carryOut(t, effects)
+				}
+			},
 			"disconnect": model.disconnect,
 			"pass time":  model.passTime,
 		})
--- a/internal/listener/core_test.go
+++ b/internal/listener/core_test.go
@@ -48,6 +48,7 @@
 	for _, conn := range conns {
 		core.finish(now, conn, EndedIdle, &effects)
 	}
+	checkUnread(core, now, &effects)
 	if got := len(core.lingering); got != limit {
 		t.Errorf("%d connections linger, want %d", got, limit)
 	}
--- a/internal/listener/effect.go
+++ b/internal/listener/effect.go
@@ -11,6 +11,7 @@
 	ClientDisconnected                   // the client of Request has disconnected
 	WriteResponses                       // Conn has responses to write: call NextToWrite
 	ResumeReading                        // Conn is no longer paused: call Resume
+	CheckUnread                          // look for bytes of Conn that came and are not read, then call UnreadChecked
 	HalfClose                            // end the sending side of Conn, read and discard until it ends, then call ConnectionEnded
 	CloseConnection                      // close Conn
 	ReportEnd                            // Conn has ended as its End says
--- a/internal/listener/expiry.go
+++ b/internal/listener/expiry.go
@@ -40,9 +40,6 @@
 		reason := EndedIdle
 		if c.table.Stage(id) <= admission.StagePartialCommand {
 			reason = EndedWithoutCommand
-			c.count.ClosedWithoutCommand.Add(1)
-		} else {
-			c.count.ClosedIdle.Add(1)
 		}
 		c.finish(now, c.conns[id], reason, effects)
 	}
@@ -55,7 +52,6 @@
 		if !isStuck {
 			return
 		}
-		c.count.ClosedStuck.Add(1)
 		c.close(now, c.conns[id], EndedStuck, effects) // even while a write is going on
 	}
 }
--- a/internal/listener/expiry_test.go
+++ b/internal/listener/expiry_test.go
@@ -40,6 +40,7 @@
 		receive(conn, begin)
 	}
 	core.Drain(now, &effects)
+	checkUnread(core, now, &effects)
 	if begin == "" {
 		conn = core.Accepted(now)
 	}
@@ -50,7 +51,9 @@
 		t.Fatal("the connection with a partial command is closed at the start of the drain, want it open")
 	}
 	now = now.Add(restAfter)
+	effects = nil
 	core.ExpireIdle(now, &effects)
+	checkUnread(core, now, &effects)
 	effects = nil
 	receive(conn, rest)
 	if got := len(effects) > 0 && effects[0].Kind == HandleRequest; got != isTaken {
@@ -61,7 +64,8 @@
 	}
 	effects[0].Request.Reply(request.Response{Kind: request.Failed})
 	core.NextToWrite(conn, nil)
-	if core.WriteCompleted(now, conn, true, &effects); !conn.IsClosed() || !conn.IsLingering() {
+	core.WriteCompleted(now, conn, true, &effects)
+	if checkUnread(core, now, &effects); !conn.IsClosed() || !conn.IsLingering() {
 		t.Errorf("after the response: closed %v, lingering %v, want both", conn.IsClosed(), conn.IsLingering())
 	}
 }
--- a/internal/listener/helpers_test.go
+++ b/internal/listener/helpers_test.go
@@ -15,3 +15,12 @@
 func newTestCounters() *counters.Counters {
 	return counters.New([]string{"read"}, request.ResponseKinds(), nil)
 }
+
+// checkUnread does what effects ask for in CheckUnread, for connections without unread bytes, and adds the effects of that.
+func checkUnread(core *Core, now time.Time, effects *Effects) {
+	for _, effect := range *effects {
+		if effect.Kind == CheckUnread {
+			core.UnreadChecked(now, effect.Conn, false, effects)
+		}
+	}
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -80,6 +80,8 @@
 			socketOf(effect.Conn).notifyWriter()
 		case ResumeReading:
 			socketOf(effect.Conn).resumeReading()
+		case CheckUnread:
+			socketOf(effect.Conn).requestCheck()
 		case HalfClose:
 			socketOf(effect.Conn).halfClose()
 		case CloseConnection:
--- a/internal/listener/loops.go
+++ b/internal/listener/loops.go
@@ -13,9 +13,15 @@
 	var effects Effects
 	for isPaused, isOver := false, false; !isOver; {
 		n, isEnded := receive(conn, socket, isPaused)
+		isCheckRequested := n == 0 && !isEnded && socket.isCheckRequested.Swap(false)
+		hasUnread := isCheckRequested && socket.hasUnread()
 		effects = effects[:0]
 		l.mu.Lock()
-		switch now := time.Now(); {
+		now := time.Now()
+		if isCheckRequested {
+			l.core.UnreadChecked(now, conn, hasUnread, &effects)
+		}
+		switch {
 		case isEnded:
 			l.core.ConnectionEnded(now, conn, &effects)
 		case conn.IsClosed():
--- a/internal/listener/responses.go
+++ b/internal/listener/responses.go
@@ -89,8 +89,7 @@
 	c.table.ResponsesWritten(c.tableTime(now), conn.id, written)
 	switch {
 	case conn.closeAfterResponses && len(conn.slots) == 0:
-		c.closeInOrder(now, conn, effects)
-		return
+		c.closeUnlessUnread(now, conn, effects)
 	case conn.isPaused && !conn.isFramingBroken:
 		effects.add(ResumeReading, conn, nil)
 	}
--- a/internal/listener/socket.go
+++ b/internal/listener/socket.go
@@ -2,10 +2,13 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"shelfproxy/internal/socketstate"
 )
 
 // past is a deadline that ends a wait at once.
@@ -18,6 +21,8 @@
 	// ends once the core says that the connection is closed.
 	notify chan struct{}
 
+	isCheckRequested atomic.Bool // the core wants to know of unread bytes; whoever sets it interrupts the reader
+
 	// The fields below belong to the reader.
 
 	raw            syscall.RawConn
@@ -49,6 +54,15 @@
 	return s.isDisconnected
 }
 
+// requestCheck has the reader look for unread bytes.
+func (s *socket) requestCheck() {
+	s.isCheckRequested.Store(true)
+	s.resumeReading()
+}
+
+// hasUnread reports whether bytes came that are not read, or the client has closed the connection. It asks the kernel.
+func (s *socket) hasUnread() bool { return s.raw != nil && socketstate.IsReadable(s.raw) }
+
 // resumeReading interrupts awaitClose, or the next call of it.
 func (s *socket) resumeReading() {
 	_ = s.conn.SetReadDeadline(past) // fails on a closed connection only, which interrupts as well
--- a/internal/testbed/clients/connection.go
+++ b/internal/testbed/clients/connection.go
@@ -3,11 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
+
+	"shelfproxy/internal/socketstate"
 )
 
 const connectTimeout = time.Second
@@ -23,15 +23,7 @@
 // isStale reports whether the node has closed a connection that was idle. A client notices that before it writes.
 func (c *connection) isStale() bool {
 	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	var peekErr error
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err != nil || !errors.Is(peekErr, syscall.EAGAIN)
+	return err != nil || socketstate.IsReadable(raw)
 }
 
 // exchange writes a command and reads its answer.
--- a/internal/testbed/simulation/node_connections.go
+++ b/internal/testbed/simulation/node_connections.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// checkUnread tells the core whether bytes came that the reader has not read.
+func (c *listenerConn) checkUnread() {
+	var effects listener.Effects
+	c.node.listener.UnreadChecked(c.node.now(), c.core, len(c.inbox) > 0 || c.hasEnded, &effects)
+	c.node.execute(effects)
+}
+
 // execute executes effects of the listener's core.
 func (n *node) execute(effects listener.Effects) {
 	for _, e := range effects {
@@ -93,6 +100,9 @@
 			n.listener.Resume(n.now(), c.core, &more)
 			n.execute(more)
 			c.scheduleRead()
+		case listener.CheckUnread:
+			c := e.Conn.Socket.(*listenerConn)
+			n.schedule(n.lag(), c.checkUnread)
 		case listener.HalfClose:
 			n.halfClose(e.Conn.Socket.(*listenerConn))
 		case listener.CloseConnection:
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"shelfproxy/internal/socketstate"
 )
 
 // maxRetainedBuffer is the largest write buffer, in bytes, that a connection keeps for its next request.
@@ -52,15 +54,7 @@
 // isStale reports whether the connection has bytes to read or has ended. It asks the kernel, as the reading goroutine may not have
 // run since the bytes came. See Core.NextToWrite for what it means.
 func (s *socket) isStale() bool {
-	if s.raw == nil {
-		return true
-	}
-	var peekErr error
-	err := s.raw.Control(func(fd uintptr) {
-		var buffer [1]byte
-		_, _, peekErr = syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err != nil || !errors.Is(peekErr, syscall.EAGAIN)
+	return s.raw == nil || socketstate.IsReadable(s.raw)
 }
 
 // dial opens a connection and starts its reader and its writer.
