--- a/internal/testbed/emulator/acceptor.go
+++ b/internal/testbed/emulator/acceptor.go
@@ -34,7 +34,6 @@
 // so that the kernel drops further connections.
 type acceptor struct {
 	address  string
-	file     *os.File
 	listener *net.TCPListener
 	accept   func(net.Conn)
 
@@ -53,10 +52,10 @@
 		return nil, err
 	}
 	listener, err := net.FileListener(file)
-	if err != nil {
-		return nil, errors.Join(err, file.Close())
+	if err := errors.Join(err, file.Close()); err != nil { // the listener has a descriptor of its own
+		return nil, err
 	}
-	a := &acceptor{address: fmt.Sprintf("127.0.0.1:%d", port), file: file, listener: listener.(*net.TCPListener),
+	a := &acceptor{address: fmt.Sprintf("127.0.0.1:%d", port), listener: listener.(*net.TCPListener),
 		accept: accept, state: model.Refusing}
 	a.changed.L = &a.mu
 	go a.serve()
@@ -137,7 +136,7 @@
 	}
 	before := a.state
 	a.state = state
-	raw, err := a.file.SyscallConn()
+	raw, err := a.listener.SyscallConn()
 	if err != nil {
 		return err
 	}
@@ -228,5 +227,4 @@
 	a.mu.Unlock()
 	// The run is over, whether they can be closed or not.
 	_ = a.listener.Close()
-	_ = a.file.Close()
 }
--- a/tests/growth_test.go
+++ b/tests/growth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 
 	"shelfproxy/internal/testbed/demo"
@@ -84,14 +85,26 @@
 // batched is the time between two batches of changes of the list.
 const batched = "200ms"
 
+// growthPlay is held by the one play of growthScenario that runs: each takes thousands of descriptors.
+var growthPlay sync.Mutex
+
+// playGrowth plays growthScenario. cpuShare is the share of the time for which the node runs; 0 is all of it.
+func playGrowth(t *testing.T, cpuShare float64, servers int, batch string, ratePerSecond int) *demo.Result {
+	t.Helper()
+	growthPlay.Lock()
+	defer growthPlay.Unlock()
+	scenario := fmt.Sprintf(growthScenario, cpuShare, servers, batch, ratePerSecond)
+	return harness.Play(t, harness.UninstrumentedNodeProgram(t), scenario, demo.Options{})
+}
+
 // Report 7e0653: a node with part of a core in front of thousands of cache servers answers every request in time.
 func TestRequestsAreAnsweredInFrontOfThousandsOfServers(t *testing.T) {
 	t.Parallel()
 	for name, batch := range map[string]string{"listed in batches": batched, "listed one by one": "0s"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			scenario := fmt.Sprintf(growthScenario, 0.29, mostServers, batch, 100)
-			harness.CheckServed(t, harness.Play(t, harness.UninstrumentedNodeProgram(t), scenario, demo.Options{}), 1000, 0)
+			const partOfACore, ratePerSecond = 0.29, 100
+			harness.CheckServed(t, playGrowth(t, partOfACore, mostServers, batch, ratePerSecond), 1000, 0)
 		})
 	}
 }
@@ -113,9 +126,8 @@
 func TestWhatANodeNeedsInFrontOfThousandsOfServers(t *testing.T) {
 	t.Parallel()
 	const ratePerSecond = 20 // a node's part of the traffic of a fleet of hundreds
-	program := harness.UninstrumentedNodeProgram(t)
-	usual := harness.Play(t, program, fmt.Sprintf(growthScenario, 0.0, usualServers, batched, ratePerSecond), demo.Options{})
-	most := harness.Play(t, program, fmt.Sprintf(growthScenario, 0.0, mostServers, batched, ratePerSecond), demo.Options{})
+	usual := playGrowth(t, 0, usualServers, batched, ratePerSecond)
+	most := playGrowth(t, 0, mostServers, batched, ratePerSecond)
 	harness.CheckServed(t, usual, 200, 0)
 	harness.CheckServed(t, most, 200, 0)
 	const megabyte = 1 << 20
