Show that a pause of the node is added to the time of its clients

Looking for the same mistake elsewhere (what a node reads late is taken for what came late): a request's time was counted from when the listener read it.

Change: a test stops the process for 2 s as a request with d=3000 comes, on a known and on a new connection.

--- a/tests/pauses_test.go
+++ b/tests/pauses_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,3 +37,46 @@
 		}
 	}
 }
+
+// timeoutTold returns the time, in milliseconds, that a command tells a cache server its client waits for.
+func timeoutTold(t *testing.T, command []string) time.Duration {
+	t.Helper()
+	_, value, _ := strings.Cut(command[3], "d=")
+	milliseconds, err := strconv.Atoi(value)
+	if err != nil {
+		t.Fatalf("the time that %v tells: %v", command, err)
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
+// A client's time runs while the node does not: the node answers by its end, and tells cache servers no more than what is left. The
+// platform allows 150 ms beyond.
+func TestClientsTimeRunsWhileTheNodeDoesNot(t *testing.T) {
+	t.Parallel()
+	const timeout, pause, allowed = 3 * time.Second, 2 * time.Second, 150 * time.Millisecond
+	server, release := harness.NewStuckCacheServer(t)
+	defer release()
+	node := harness.NewNode(t, server)
+	node.Start()
+	known := node.Dial()
+	known.Get("k", "first").Want("value-first")
+	for name, client := range map[string]*harness.Client{"known": known, "new": nil} {
+		node.Process.Pause()
+		if client == nil {
+			client = node.Dial()
+		}
+		sentAt := time.Now()
+		client.Send("CACHE.GET", harness.StuckKey, name, fmt.Sprintf("c=read,d=%d", timeout.Milliseconds()))
+		time.Sleep(pause)
+		node.Process.Resume()
+		client.Want("-")
+		if late := time.Since(sentAt) - timeout; late > allowed {
+			t.Errorf("%s connection: answered %v after the client's time, want at most %v", name, late, allowed)
+		}
+		for _, command := range server.Commands() {
+			if told := timeoutTold(t, command); command[2] == name && told > timeout-pause+allowed {
+				t.Errorf("%s connection: the cache server was told %v of the %v that were left", name, told, timeout-pause)
+			}
+		}
+	}
+}
