Count a client's time from when its request may have come, across pauses

Callers saw: after the node had not run for a while, answers up to as long after their time, and cache servers were told more time than was left.

Cause: a request's time was counted from when the listener read it (listener/commands.go dispatchRequest). What came while the process stood still, or while connections waited in the kernel's queue as none could be accepted, was read later. The same mistake as ending a connection whose bytes were not read: what is read late was taken for what came late.

What is read in the first 50 ms after it counts as come at its beginning, but not before the connection was opened nor before the response to its last command was written. A connection that is accepted after accepts failed or waited for capacity may have waited since then.

Why it works: the earliest possible arrival is assumed, so that the error is on the safe side: such a request has less time, and one whose time is over is answered at once.

--- a/internal/listener/commands.go
+++ b/internal/listener/commands.go
@@ -76,7 +76,7 @@
 
 // dispatchRequest hands a command to the handler as a request.
 func (c *Core) dispatchRequest(now time.Time, conn *Conn, command redcon.Command, effects *Effects) {
-	r, err := c.parseRequest(now, command)
+	r, err := c.parseRequest(conn.arrival(now, c.pause.earliestArrival(now)), command)
 	if err != nil {
 		c.rejectCommand(now, conn, err, effects)
 		return
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -27,6 +27,8 @@
 	endReason           EndReason       // why it is closed, once it is to be
 	end                 End             // valid once isClosed is set
 	isClosed            bool
+	acceptedAt          time.Time
+	quietSince          time.Time // nothing that is read from now on was sent before this
 	lingerDeadline      time.Time // until when a closed connection lingers; zero if it does not
 }
 
@@ -36,6 +38,20 @@
 	return conn
 }
 
+// accepted says when the connection was accepted, and when it may have been opened at the earliest.
+func (c *Conn) accepted(now, openedSince time.Time) { c.acceptedAt, c.quietSince = now, openedSince }
+
+// arrival returns when a command that is read now may have come at the earliest, where what the process reads now may have come at a
+// given time. A command may have come while its connection waited to be accepted, but not before the response to the last command
+// was written, unless its client pipelines.
+func (c *Conn) arrival(now, earliest time.Time) time.Time {
+	waited := c.acceptedAt.Sub(c.quietSince) >= minPause // never once a response was written
+	if waited && now.Sub(c.acceptedAt) < settleTime || earliest.Before(c.quietSince) {
+		return c.quietSince
+	}
+	return earliest
+}
+
 // ReadBuffer returns the buffer for the next bytes of the client, while the connection is not paused.
 func (c *Conn) ReadBuffer() []byte { return c.framing.buffer[:] }
 
--- a/internal/listener/core.go
+++ b/internal/listener/core.go
@@ -21,7 +21,8 @@
 	limits  Limits
 	count   *counters.Counters
 
-	start             time.Time                  // of the connection table's time
+	start             time.Time // of the connection table's time
+	pause             pauseTracker
 	table             *admission.ConnectionTable // of the open connections; lingering ones are not in it
 	maxConnections    int
 	conns             map[uint64]*Conn // the open ones by id
@@ -51,10 +52,11 @@
 // tableTime converts a time to the connection table's.
 func (c *Core) tableTime(now time.Time) admission.Time { return now.Sub(c.start) }
 
-// Accepted takes a connection that a client opened.
-func (c *Core) Accepted(now time.Time) *Conn {
+// Accepted takes a connection that a client opened, at waitingSince or later: now, unless connections had to wait to be accepted.
+func (c *Core) Accepted(now, waitingSince time.Time) *Conn {
 	c.lastID++
 	conn := newConn(c.lastID)
+	conn.accepted(now, c.pause.earliestArrival(waitingSince))
 	conn.closeAfterResponses, conn.endReason = c.isDraining, EndedByDrain
 	c.conns[conn.id] = conn
 	c.table.Accepted(c.tableTime(now), conn.id)
--- a/internal/listener/core_property_test.go
+++ b/internal/listener/core_property_test.go
@@ -210,7 +210,7 @@
 func (m *coreModel) connect(t *rapid.T) {
 	var effects Effects
 	if m.core.HasCapacity(m.now, &effects) && len(m.clients) < 8 {
-		m.clients = append(m.clients, &modelClient{conn: m.core.Accepted(m.now)})
+		m.clients = append(m.clients, &modelClient{conn: m.core.Accepted(m.now, m.now)})
 	}
 	m.carryOut(t, effects)
 }
--- a/internal/listener/core_test.go
+++ b/internal/listener/core_test.go
@@ -18,7 +18,7 @@
 func TestBrokenFramingIsAnsweredAndEndsConnection(t *testing.T) {
 	now := time.Unix(1000, 0)
 	core := newTestCore(now, coreTestLimits)
-	conn := core.Accepted(now)
+	conn := core.Accepted(now, now)
 	var effects Effects
 	core.BytesReceived(now, conn, copy(conn.ReadBuffer(), "*1\r\n$x\r\n"), &effects)
 	if !hasEffect(effects, WriteResponses, conn) {
@@ -42,7 +42,7 @@
 	limit := maxLingering(coreTestLimits.MaxConnections)
 	conns := make([]*Conn, limit+1)
 	for i := range conns {
-		conns[i] = core.Accepted(now)
+		conns[i] = core.Accepted(now, now)
 	}
 	var effects Effects
 	for _, conn := range conns {
--- a/internal/listener/expiry.go
+++ b/internal/listener/expiry.go
@@ -9,8 +9,14 @@
 )
 
 // ExpireIdle closes the connections whose time is over and returns how long to wait for the next call. Without it they would stay
-// for good and keep usual clients out.
+// for good and keep usual clients out. A call that comes late shows that the process did not run.
 func (c *Core) ExpireIdle(now time.Time, effects *Effects) (wait time.Duration) {
+	wait = c.expireIdle(now, effects)
+	c.pause.called(now, wait)
+	return wait
+}
+
+func (c *Core) expireIdle(now time.Time, effects *Effects) (wait time.Duration) {
 	for len(c.lingering) > 0 && !now.Before(c.lingering[0].lingerDeadline) {
 		c.endLingering(c.lingering[0], effects)
 	}
--- a/internal/listener/expiry_test.go
+++ b/internal/listener/expiry_test.go
@@ -35,14 +35,14 @@
 	receive := func(conn *Conn, text string) {
 		core.BytesReceived(now, conn, copy(conn.ReadBuffer(), text), &effects)
 	}
-	idle, conn := core.Accepted(now), core.Accepted(now)
+	idle, conn := core.Accepted(now, now), core.Accepted(now, now)
 	if begin != "" {
 		receive(conn, begin)
 	}
 	core.Drain(now, &effects)
 	checkUnread(core, now, &effects)
 	if begin == "" {
-		conn = core.Accepted(now)
+		conn = core.Accepted(now, now)
 	}
 	if !idle.IsClosed() {
 		t.Fatal("the idle connection is open after the start of the drain, want it closed")
--- a/internal/listener/golden_test.go
+++ b/internal/listener/golden_test.go
@@ -33,7 +33,7 @@
 		"CACHE.GET anna id-11 nonsense\r\n", "CACHE.SET anna id-12 c=sign,d=2000 longer-than-ten\r\n",
 		"*1\r\n$x\r\n", "INFO\r\n", "QUIT\r\n"} {
 		var effects Effects
-		conn := core.Accepted(now)
+		conn := core.Accepted(now, now)
 		core.BytesReceived(now, conn, copy(conn.ReadBuffer(), command), &effects)
 		for i := 0; i < len(effects); i++ {
 			if effects[i].Kind != HandleRequest {
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -110,6 +110,7 @@
 // Serve accepts connections until Close. The error is that of closing the socket.
 func (l *Listener) Serve() error {
 	go l.sweep()
+	var queue acceptQueue
 	for {
 		netConn, err := l.netListener.Accept()
 		switch {
@@ -119,28 +120,32 @@
 			return l.netListener.Close()
 		case err != nil:
 			l.count.AcceptFailed.Add(1)
+			queue.failed(time.Now())
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		l.serveConnection(netConn)
-		l.awaitCapacity()
+		l.serveConnection(netConn, queue.succeeded(time.Now()))
+		if from := time.Now(); l.awaitCapacity() {
+			queue.blocked(from, time.Now())
+		}
 	}
 }
 
-// serveConnection starts the reader and the writer of a connection.
-func (l *Listener) serveConnection(netConn net.Conn) {
+// serveConnection starts the reader and the writer of a connection, which was opened at waitingSince or later.
+func (l *Listener) serveConnection(netConn net.Conn, waitingSince time.Time) {
 	socket := newSocket(netConn)
 	l.loops.Add(2)
 	l.call(func(now time.Time, _ *Effects) {
-		conn := l.core.Accepted(now)
+		conn := l.core.Accepted(now, waitingSince)
 		conn.Socket = socket
 		go l.readLoop(conn, socket)
 		go l.writeLoop(conn, socket)
 	})
 }
 
-// awaitCapacity waits until another connection may be accepted; meanwhile connections wait in the kernel's queue.
-func (l *Listener) awaitCapacity() {
+// awaitCapacity waits until another connection may be accepted, and reports whether it did wait: meanwhile connections wait in the
+// kernel's queue.
+func (l *Listener) awaitCapacity() (waited bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for {
@@ -153,8 +158,9 @@
 			continue // what it closed may have made the capacity
 		}
 		if hasCapacity {
-			return
+			return waited
 		}
+		waited = true
 		l.capacity.Wait()
 	}
 }
--- a/internal/listener/parse.go
+++ b/internal/listener/parse.go
@@ -40,8 +40,8 @@
 
 // parseRequest makes a request of CACHE.GET key id parameters or CACHE.SET key id parameters value. The error says what is wrong with
 // the command, as one of the errors above.
-func (c *Core) parseRequest(now time.Time, command redcon.Command) (*request.Request, error) {
-	parsed := &request.Request{ReceivedAt: now, IsWrite: isCommand(command.Args[0], setCommand)}
+func (c *Core) parseRequest(receivedAt time.Time, command redcon.Command) (*request.Request, error) {
+	parsed := &request.Request{ReceivedAt: receivedAt, IsWrite: isCommand(command.Args[0], setCommand)}
 	wantArgs := 4
 	if parsed.IsWrite {
 		wantArgs = 5
--- a/internal/listener/responses.go
+++ b/internal/listener/responses.go
@@ -87,6 +87,7 @@
 	conn.slots = append(conn.slots[:0:0], conn.slots[written:]...)
 	c.table.AddUnsentBytes(c.tableTime(now), conn.id, -unsentBytes)
 	c.table.ResponsesWritten(c.tableTime(now), conn.id, written)
+	conn.quietSince = now
 	switch {
 	case conn.closeAfterResponses && len(conn.slots) == 0:
 		c.closeUnlessUnread(now, conn, effects)
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -16,8 +16,8 @@
 	Tenant        string // empty if the client names no tenant of the deployment
 	Parameters    []byte // the comma-separated name=value pairs as they arrived
 	IsWrite       bool
-	Value         []byte // of a write
-	ReceivedAt    time.Time
+	Value         []byte        // of a write
+	ReceivedAt    time.Time     // when it came, at the earliest: before it was read, if the process did not run for a while
 	ClientTimeout time.Duration // how long the client waits from when it sent the request
 	ConnectionID  uint64        // the listener's number of the client's connection, for fairness between connections
 	// Reply takes the one final response. The node calls it from its event loop: it must not wait.
--- a/internal/testbed/simulation/node_connections.go
+++ b/internal/testbed/simulation/node_connections.go
@@ -24,7 +24,7 @@
 		return nil
 	}
 	near, far := n.world.pipe(n.world.plan.Network.ToNode, n.world.plan.Network.ToClient)
-	c := &listenerConn{node: n, incarnation: n.incarnation, stream: far, core: n.listener.Accepted(n.now())}
+	c := &listenerConn{node: n, incarnation: n.incarnation, stream: far, core: n.listener.Accepted(n.now(), n.now())}
 	c.core.Socket = c
 	far.data = func(b []byte, _ Time) {
 		if n.incarnation == c.incarnation {
