Report to the supervisor at once, so that a node that hangs at its start is found

Seen: one of nine runs of go test ./tests failed in TestKilledAndHungNodesAreReplaced, 20 s after "instance_serves" of process 5, without any "instance_hangs". The output was cut to its last lines, so the test is told from the numbers of its processes.

Cause: a process counts as hanging once it reports nothing for fleet.silent, but only if it has reported before (supervisor/health.go checkHang), and a node's first report came a quarter of a second after its start (daemon.supervisionInterval). The test stops the second node after three restarts of the first, whose waits are drawn; drawn short, that is within the quarter of a second.

Change: a node reports right behind its readiness.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,6 +81,7 @@
 	d.log.Info("the node is up", logs.Event, "started", "name", d.cfg.Name, "listen", d.cfg.Listen, "cores", d.cfg.Cores,
 		"memory_mb", d.cfg.MemoryMB, "sockets", d.cfg.Sockets)
 	_ = d.parent.ReportReady() // a supervisor that is gone is noticed at the next report
+	d.reportToSupervisor()     // from the first report on, a node that reports nothing hangs
 }
 
 // handleEvents handles signals, the periodic supervision and the fleet's decisions until the node's shutdown is over.
--- a/tests/supervisor_test.go
+++ b/tests/supervisor_test.go
@@ -274,3 +274,14 @@
 		}
 	}
 }
+
+// A node that hangs right after its start, before a quarter of a second has passed, is replaced, too.
+func TestNodeThatHangsAtItsStartIsReplaced(t *testing.T) {
+	machine := harness.NewMachine(t, 1)
+	hung := machine.WaitServing("at first").PIDs()[0]
+	kill(t, hung, syscall.SIGSTOP)
+	machine.WaitForLog(`"instance_hangs"`, 1)
+	if now := machine.WaitServing("after it hung").PIDs()[0]; now == hung {
+		t.Error("the process that hangs is still that of its instance")
+	}
+}
