--- a/tests/growth_test.go
+++ b/tests/growth_test.go
@@ -10,7 +10,7 @@
 )
 
 // growthScenario is one node: one key is popular, and a quarter of the cache servers die and come back cold, as the list says in
-// batches, or one by one where the time between batches is 0. Clients wait for little longer than answers usually take.
+// batches, or one by one where the time between batches is 0.
 const growthScenario = `
 length = "12s"
 [nodes]
@@ -42,12 +42,17 @@
 at = "3s"
 for = "4s"
 share = 0.25
+`
+
+// impatientClasses are a class of each effect, whose clients wait for little longer than answers usually take: those of reads for a time
+// in milliseconds.
+const impatientClasses = `
 [[class]]
 name = "view"
 share = 0.96
 work = ["60ms", "100ms"]
 aim = "500ms"
-deadline = "900ms"
+deadline = "%dms"
 worth = 1
 late_worth = 0.5
 effect = "idempotent"
@@ -93,7 +98,8 @@
 	t.Helper()
 	growthPlay.Lock()
 	defer growthPlay.Unlock()
-	scenario := fmt.Sprintf(growthScenario, cpuShare, servers, batch, ratePerSecond)
+	const readTimeout = 900 // ms
+	scenario := fmt.Sprintf(growthScenario+impatientClasses, cpuShare, servers, batch, ratePerSecond, readTimeout)
 	return harness.Play(t, harness.UninstrumentedNodeProgram(t), scenario, demo.Options{})
 }
 
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -48,38 +48,6 @@
 keys = 1
 at = "1s"
 for = "8s"
-[[class]]
-name = "view"
-share = 0.94
-work = ["40ms", "100ms"]
-aim = "500ms"
-deadline = "%dms"
-worth = 1
-late_worth = 0.5
-effect = "idempotent"
-[[class]]
-name = "sign"
-share = 0.03
-work = ["40ms", "100ms"]
-aim = "800ms"
-deadline = "2s"
-worth = 10
-late_worth = 0.3
-write = true
-effect = "deduplicated"
-window = "3s"
-bytes = 500
-[[class]]
-name = "issue"
-share = 0.03
-work = ["40ms", "100ms"]
-aim = "500ms"
-deadline = "1500ms"
-worth = 3
-late_worth = 0.3
-write = true
-effect = "at_most_once"
-bytes = 500
 `
 
 // soakFaults are faults of cache servers, discovery and the origin, without their times.
@@ -123,7 +91,7 @@
 	cpuShare := oneOf(rng, 0, 0, 0.3, 0.5)
 	plan.hasShare = cpuShare > 0
 	plan.crowd = oneOf(rng, 0, 0, sockets/2)
-	plan.scenario = fmt.Sprintf(soakScenario, nodeCount, cpuShare, oneOf(rng, 32, 64, 128), sockets, plan.servers, oneOf(rng, 60, 200),
+	plan.scenario = fmt.Sprintf(soakScenario+impatientClasses, nodeCount, cpuShare, oneOf(rng, 32, 64, 128), sockets, plan.servers, oneOf(rng, 60, 200),
 		oneOf(rng, 300, 1500), oneOf(rng, 0, 200), oneOf(rng, 20, 60)*nodeCount, oneOf(rng, 0, 0.1, 0.23), oneOf(rng, 900, 1800))
 	for range 1 + rng.IntN(3) {
 		plan.scenario += fmt.Sprintf("[[fault]]\n%s\nat = \"%dms\"\nfor = \"%dms\"\n", oneOf(rng, soakFaults...), 1000+rng.IntN(3000),
