--- a/internal/node/loopmonitor.go
+++ b/internal/node/loopmonitor.go
@@ -26,8 +26,8 @@
 
 var stepNames = [...]string{"list", "request", "queue", "timer"}
 
-// loopMonitor measures the steps of the event loop. Steps are measured by the wall clock, so time for which the process did not run
-// counts as well. It belongs to the event loop.
+// loopMonitor measures the steps of the event loop. Time for which the process did not run counts as well, as requests wait for that,
+// too. It belongs to the event loop.
 type loopMonitor struct {
 	log                                 *slog.Logger
 	slow, longestStep, longestQueueWait *atomic.Int64 // the two times are in microseconds
