--- a/tests/growth_test.go
+++ b/tests/growth_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
 	"testing"
 
 	"shelfproxy/internal/testbed/demo"
@@ -90,14 +89,19 @@
 // batched is the time between two batches of changes of the list.
 const batched = "200ms"
 
-// growthPlay is held by the one play of growthScenario that runs: each takes thousands of descriptors.
-var growthPlay sync.Mutex
+// widePlays holds an element for each play in front of many servers that runs: each takes thousands of descriptors.
+var widePlays = make(chan struct{}, 2)
+
+// beginWidePlay waits until one more may run. It ends with the function that is returned.
+func beginWidePlay() (end func()) {
+	widePlays <- struct{}{}
+	return func() { <-widePlays }
+}
 
 // playGrowth plays growthScenario. cpuShare is the share of the time for which the node runs; 0 is all of it.
 func playGrowth(t *testing.T, cpuShare float64, servers int, batch string, ratePerSecond int) *demo.Result {
 	t.Helper()
-	growthPlay.Lock()
-	defer growthPlay.Unlock()
+	defer beginWidePlay()()
 	const readTimeout = 900 // ms
 	scenario := fmt.Sprintf(growthScenario+impatientClasses, cpuShare, servers, batch, ratePerSecond, readTimeout)
 	return harness.Play(t, harness.UninstrumentedNodeProgram(t), scenario, demo.Options{})
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -179,8 +179,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			plan := drawSoak(seed)
 			if plan.servers > usualServers {
-				growthPlay.Lock()
-				defer growthPlay.Unlock()
+				defer beginWidePlay()()
 			}
 			t.Logf("seed %d: %s", seed, plan)
 			result := harness.Play(t, harness.UninstrumentedNodeProgram(t), plan.scenario, demo.Options{Restarts: plan.restarts, Disturb: plan.disturb})
