Throttle nodes of the testbed by the processor time that they use

Cause: the testbed let the process run for 5.8 ms in each 20 ms. On a busy machine it was often not scheduled in that time, so it got far less than its 0.29 of a core: the node was not at fault (1.52 s of processor in all, loops late at the start only).

Change: the process is stopped while it has used more processor time than its share and a burst of 20 ms, as a quota of the platform would have it; and run for as long as it has not. The Hang test runs beside the others.

--- a/internal/testbed/demo/instance.go
+++ b/internal/testbed/demo/instance.go
@@ -37,7 +37,7 @@
 }
 
 // start starts a process, waits until it answers and puts the instance in use. The process keeps to the limits on descriptors and,
-// if there is one, on its share of the time.
+// if there is one, on its share of a processor.
 func (in *instance) start(ctx context.Context, program string, args []string, limits scenario.Nodes) error {
 	process, err := nodes.Start(nodes.Command{Program: program, Args: args, Name: in.Name, Listen: in.Listen, Config: in.Path,
 		Sockets: limits.Sockets})
--- a/internal/testbed/nodes/process_test.go
+++ b/internal/testbed/nodes/process_test.go
@@ -20,3 +20,31 @@
 		}
 	}
 }
+
+// TestQuotaIsOfProcessorTime: a process may use its share and a burst, and again what it has earned since.
+func TestQuotaIsOfProcessorTime(t *testing.T) {
+	start := time.Unix(1000, 0)
+	quota := cpuQuota{share: 0.25, lastLook: start}
+	for i, step := range []struct {
+		after, used time.Duration // since the start
+		isExceeded  bool
+	}{
+		{time.Second, 0, false}, // an idle second earns no more than the burst
+		{time.Second, throttleBurst, false},
+		{time.Second, throttleBurst + time.Millisecond, true},
+		{time.Second + 3*time.Millisecond, throttleBurst + time.Millisecond, true},
+		{time.Second + 4*time.Millisecond, throttleBurst + time.Millisecond, false},
+		{time.Second + 400*time.Millisecond, throttleBurst + 100*time.Millisecond, false}, // as much as it earned
+	} {
+		if got := quota.isExceeded(start.Add(step.after), step.used); got != step.isExceeded {
+			t.Errorf("step %d: exceeded %v, want %v", i, got, step.isExceeded)
+		}
+	}
+	before := cpuTime(os.Getpid())
+	for end := time.Now().Add(20 * time.Millisecond); time.Now().Before(end); {
+		continue
+	}
+	if used := cpuTime(os.Getpid()) - before; used <= 0 {
+		t.Errorf("a busy process used %v, want some", used)
+	}
+}
--- a/internal/testbed/scenario/scenario.go
+++ b/internal/testbed/scenario/scenario.go
@@ -31,7 +31,7 @@
 type Nodes struct {
 	Count          Range             `toml:"count"`
 	Cores          float64           `toml:"cores"`
-	CPUShare       float64           `toml:"cpu_share"` // of the time for which processes run at all; 0: all of it
+	CPUShare       float64           `toml:"cpu_share"` // of a processor that each process may use; 0: as much as there is
 	MemoryMB       int               `toml:"memory_mb"`
 	Sockets        int               `toml:"sockets"`
 	MaxOpen        int               `toml:"max_open"`
--- a/tests/growth_test.go
+++ b/tests/growth_test.go
@@ -98,7 +98,7 @@
 	return func() { <-widePlays }
 }
 
-// playGrowth plays growthScenario. cpuShare is the share of the time for which the node runs; 0 is all of it.
+// playGrowth plays growthScenario. cpuShare is the share of a processor that the node may use; 0 is as much as there is.
 func playGrowth(t *testing.T, cpuShare float64, servers int, batch string, ratePerSecond int) *demo.Result {
 	t.Helper()
 	defer beginWidePlay()()
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -71,7 +71,7 @@
 type soak struct {
 	scenario   string
 	servers    int
-	hasShare   bool // processes run for a part of the time only
+	hasShare   bool // processes may use a part of a processor only
 	restarts   int
 	pauseEvery time.Duration // 0: no pauses
 	reloads    bool
--- a/tests/supervisor_test.go
+++ b/tests/supervisor_test.go
@@ -277,6 +277,7 @@
 
 // A node that hangs right after its start, before a quarter of a second has passed, is replaced, too.
 func TestNodeThatHangsAtItsStartIsReplaced(t *testing.T) {
+	t.Parallel()
 	machine := harness.NewMachine(t, 1)
 	hung := machine.WaitServing("at first").PIDs()[0]
 	kill(t, hung, syscall.SIGSTOP)
