Count a client's time from the begin of the write of its last response

So the pause was known to the listener, but the bound "not before the last response was written" cut it off.

Cause: WriteCompleted took the bound (quietSince) from the clock after the write. The client had its response, and the process was stopped before it saw the end of the write, so the bound was after the pause.

Change: the bound is the time at which the write began (NextToWrite). It is never after what the client saw.

Test: TestArrivalIsNotBoundedByTheEndOfAWrite has the write end behind a pause; with the old bound the request came 2 s late in it.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -19,6 +19,7 @@
 	commands            *redcon.Reader  // reads from framing
 	slots               []*ResponseSlot // of the responses that are owed, in the order of their commands
 	writing             int             // the first slots, whose responses are being written
+	writingSince        time.Time       // when the last write began
 	isPaused            bool            // as many responses are owed as may be: further commands wait
 	isFramingBroken     bool            // nothing more is read
 	closeAfterResponses bool            // close once everything that is owed is written
@@ -42,8 +43,8 @@
 func (c *Conn) accepted(now, openedSince time.Time) { c.acceptedAt, c.quietSince = now, openedSince }
 
 // arrival returns when a command that is read now may have come at the earliest, where what the process reads now may have come at a
-// given time. A command may have come while its connection waited to be accepted, but not before the response to the last command
-// was written, unless its client pipelines.
+// given time. A command may have come while its connection waited to be accepted, but not before the write of the response to
+// the last command began, unless its client pipelines.
 func (c *Conn) arrival(now, earliest time.Time) time.Time {
 	waited := c.acceptedAt.Sub(c.quietSince) >= minPause // never once a response was written
 	if waited && now.Sub(c.acceptedAt) < settleTime || earliest.Before(c.quietSince) {
--- a/internal/listener/core_property_test.go
+++ b/internal/listener/core_property_test.go
@@ -197,7 +197,7 @@
 	if client.conn.IsClosed() || client.isWriting {
 		return
 	}
-	responses, size := m.core.NextToWrite(client.conn, nil)
+	responses, size := m.core.NextToWrite(m.now, client.conn, nil)
 	if size == 0 {
 		return
 	}
--- a/internal/listener/core_test.go
+++ b/internal/listener/core_test.go
@@ -24,7 +24,7 @@
 	if !hasEffect(effects, WriteResponses, conn) {
 		t.Errorf("got effects %+v, want %v among them", effects, WriteResponses)
 	}
-	responses, _ := core.NextToWrite(conn, nil)
+	responses, _ := core.NextToWrite(now, conn, nil)
 	if got, want := string(bytes.Join(responses, nil)), "-ERR Protocol error: invalid length\r\n"; got != want {
 		t.Errorf("got response %q, want %q", got, want)
 	}
--- a/internal/listener/expiry_test.go
+++ b/internal/listener/expiry_test.go
@@ -63,7 +63,7 @@
 		return
 	}
 	effects[0].Request.Reply(request.Response{Kind: request.Failed})
-	core.NextToWrite(conn, nil)
+	core.NextToWrite(now, conn, nil)
 	core.WriteCompleted(now, conn, true, &effects)
 	if checkUnread(core, now, &effects); !conn.IsClosed() || !conn.IsLingering() {
 		t.Errorf("after the response: closed %v, lingering %v, want both", conn.IsClosed(), conn.IsLingering())
--- a/internal/listener/golden_test.go
+++ b/internal/listener/golden_test.go
@@ -45,7 +45,7 @@
 			core.Respond(now, conn, conn.slots[0], responses[given%len(responses)], &effects)
 			given++
 		}
-		out, _ := core.NextToWrite(conn, nil)
+		out, _ := core.NextToWrite(now, conn, nil)
 		lines.Text(fmt.Sprintf("%q", command), fmt.Sprintf("%q", bytes.Join(out, nil)))
 		core.ConnectionEnded(now, conn, &effects)
 	}
--- a/internal/listener/loops.go
+++ b/internal/listener/loops.go
@@ -62,7 +62,7 @@
 	for range socket.notify {
 		for {
 			l.mu.Lock()
-			next, size := l.core.NextToWrite(conn, responses[:0])
+			next, size := l.core.NextToWrite(time.Now(), conn, responses[:0])
 			isOver := conn.IsClosed()
 			l.mu.Unlock()
 			if isOver {
--- a/internal/listener/pause_test.go
+++ b/internal/listener/pause_test.go
@@ -79,3 +79,26 @@
 		t.Errorf("behind a wait for capacity: waits since %v after its beginning, want 0", got.Sub(from))
 	}
 }
+
+// TestArrivalIsNotBoundedByTheEndOfAWrite: a client may have its response long before the process sees the end of the write, and the
+// next command may come meanwhile.
+func TestArrivalIsNotBoundedByTheEndOfAWrite(t *testing.T) {
+	const pause = 2 * time.Second
+	start := time.Unix(1000, 0)
+	core := newTestCore(start, coreTestLimits)
+	conn := core.Accepted(start, start)
+	var effects Effects
+	core.ExpireIdle(start, &effects)
+	core.BytesReceived(start, conn, copy(conn.ReadBuffer(), "*1\r\n$4\r\nPING\r\n"), &effects)
+	core.NextToWrite(start, conn, nil)
+	resumed := start.Add(pause)
+	core.WriteCompleted(resumed, conn, true, &effects)
+	effects = nil
+	core.BytesReceived(resumed, conn, copy(conn.ReadBuffer(), "*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$2\r\nid\r\n$13\r\nc=read,d=3000\r\n"), &effects)
+	if len(effects) != 1 || effects[0].Kind != HandleRequest {
+		t.Fatalf("got effects %+v, want a request", effects)
+	}
+	if got := effects[0].Request.ReceivedAt; !got.Equal(start) {
+		t.Errorf("the request came %v after the write began, want 0", got.Sub(start))
+	}
+}
--- a/internal/listener/responses.go
+++ b/internal/listener/responses.go
@@ -51,7 +51,7 @@
 
 // NextToWrite returns the responses to write next, appended to buffers, and their size in bytes. The shell writes them and then calls
 // WriteCompleted. There are none while a write is going on.
-func (c *Core) NextToWrite(conn *Conn, buffers [][]byte) (responses [][]byte, size int) {
+func (c *Core) NextToWrite(now time.Time, conn *Conn, buffers [][]byte) (responses [][]byte, size int) {
 	if conn.isClosed || conn.writing > 0 {
 		return buffers, 0
 	}
@@ -67,6 +67,7 @@
 			buffers = append(buffers, slot.value, crlf)
 		}
 	}
+	conn.writingSince = now
 	return buffers, size
 }
 
@@ -87,7 +88,7 @@
 	conn.slots = append(conn.slots[:0:0], conn.slots[written:]...)
 	c.table.AddUnsentBytes(c.tableTime(now), conn.id, -unsentBytes)
 	c.table.ResponsesWritten(c.tableTime(now), conn.id, written)
-	conn.quietSince = now
+	conn.quietSince = conn.writingSince // the client may have had them at once, and sent its next command
 	switch {
 	case conn.closeAfterResponses && len(conn.slots) == 0:
 		c.closeUnlessUnread(now, conn, effects)
--- a/internal/testbed/simulation/node_connections.go
+++ b/internal/testbed/simulation/node_connections.go
@@ -135,7 +135,7 @@
 	if c.isWriting || c.core.IsClosed() {
 		return
 	}
-	out, size := c.node.listener.NextToWrite(c.core, nil)
+	out, size := c.node.listener.NextToWrite(c.node.now(), c.core, nil)
 	if size == 0 {
 		return
 	}
