Count a client's time from when the kernel had its bytes

Change: after each read the listener asks the kernel how long ago the last bytes came (TCP_INFO, tcpi_last_data_recv; monotonic), and a request has come by then at the latest. The earlier of this and of what is known of pauses counts. Steps of the kernel's clock, up to 10 ms, count as nothing.

What it can't tell: of several commands that waited together only the last one's time is known; there the bound from pauses alone holds, as before.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -29,6 +29,7 @@
 	end                 End             // valid once isClosed is set
 	isClosed            bool
 	acceptedAt          time.Time
+	arrivedBy           time.Time // when the last bytes that were read had come; zero if that is not known
 	quietSince          time.Time // nothing that is read from now on was sent before this
 	lingerDeadline      time.Time // until when a closed connection lingers; zero if it does not
 }
@@ -42,10 +43,23 @@
 // accepted says when the connection was accepted, and when it may have been opened at the earliest.
 func (c *Conn) accepted(now, openedSince time.Time) { c.acceptedAt, c.quietSince = now, openedSince }
 
-// arrival returns when a command that is read now may have come at the earliest, where what the process reads now may have come at a
-// given time. A command may have come while its connection waited to be accepted, but not before the write of the response to
-// the last command began, unless its client pipelines.
+// BytesArrived says that the bytes that are passed to the core next had come by a time.
+func (c *Conn) BytesArrived(by time.Time) { c.arrivedBy = by }
+
+// arrival returns when a command that is decoded now may have come at the earliest: by the time that the kernel knows of, and where
+// the process may have been paused since an earlier time, not after that.
 func (c *Conn) arrival(now, earliest time.Time) time.Time {
+	bound := c.arrivalAcrossPause(now, earliest)
+	if !c.arrivedBy.IsZero() && c.arrivedBy.Before(bound) {
+		return c.arrivedBy
+	}
+	return bound
+}
+
+// arrivalAcrossPause returns when a command that is read now may have come at the earliest, where what the process reads now may have
+// come at a given time. A command may have come while its connection waited to be accepted, but not before the write of the response
+// to the last command began, unless its client pipelines.
+func (c *Conn) arrivalAcrossPause(now, earliest time.Time) time.Time {
 	waited := c.acceptedAt.Sub(c.quietSince) >= minPause // never once a response was written
 	if waited && now.Sub(c.acceptedAt) < settleTime || earliest.Before(c.quietSince) {
 		return c.quietSince
--- a/internal/listener/loops.go
+++ b/internal/listener/loops.go
@@ -11,10 +11,14 @@
 func (l *Listener) readLoop(conn *Conn, socket *socket) {
 	defer l.loops.Done()
 	var effects Effects
+	var arrivedBy time.Time
 	for isPaused, isOver := false, false; !isOver; {
 		n, isEnded := receive(conn, socket, isPaused)
 		isCheckRequested := n == 0 && !isEnded && socket.isCheckRequested.Swap(false)
 		hasUnread := isCheckRequested && socket.hasUnread()
+		if n > 0 {
+			arrivedBy = socket.arrivedBy()
+		}
 		effects = effects[:0]
 		l.mu.Lock()
 		now := time.Now()
@@ -27,6 +31,7 @@
 		case conn.IsClosed():
 			l.discarded.Add(int64(n))
 		case n > 0:
+			conn.BytesArrived(arrivedBy)
 			l.core.BytesReceived(now, conn, n, &effects)
 		case isPaused:
 			l.core.Resume(now, conn, &effects)
--- a/internal/listener/pause_test.go
+++ b/internal/listener/pause_test.go
@@ -39,22 +39,29 @@
 		acceptedAt, openedSince int // ms
 		writtenAt               int // of the last response; 0 for none
 		readAt, earliest        int
+		arrivedBy               int // as the kernel has it; 0 if it does not
 		want                    int
 	}{
-		"no pause":                          {0, 0, 0, 900, 900, 900},
-		"a pause":                           {0, 0, 0, 900, 300, 300},
-		"a pause, opened in it":             {900, 300, 0, 901, 300, 300},
-		"a pause, opened after it":          {900, 900, 0, 910, 300, 900},
-		"a pause, a response in it":         {0, 0, 500, 900, 300, 500},
-		"waited to be accepted":             {800, 200, 0, 820, 820, 200},
-		"waited to be accepted, sent later": {800, 200, 0, 900, 900, 900},
-		"waited, then a response":           {800, 200, 810, 830, 830, 830},
+		"no pause":                          {0, 0, 0, 900, 900, 0, 900},
+		"a pause":                           {0, 0, 0, 900, 300, 0, 300},
+		"a pause, opened in it":             {900, 300, 0, 901, 300, 0, 300},
+		"a pause, opened after it":          {900, 900, 0, 910, 300, 0, 900},
+		"a pause, a response in it":         {0, 0, 500, 900, 300, 0, 500},
+		"waited to be accepted":             {800, 200, 0, 820, 820, 0, 200},
+		"waited to be accepted, sent later": {800, 200, 0, 900, 900, 0, 900},
+		"no pause, read late":               {0, 0, 0, 900, 900, 700, 700},
+		"a pause, known to the kernel":      {0, 0, 500, 900, 300, 700, 500},
+		"paused before it was read":         {0, 0, 0, 900, 300, 200, 200},
+		"waited, then a response":           {800, 200, 810, 830, 830, 0, 830},
 	} {
 		var conn Conn
 		conn.accepted(at(test.acceptedAt), at(test.openedSince))
 		if test.writtenAt > 0 {
 			conn.quietSince = at(test.writtenAt)
 		}
+		if test.arrivedBy > 0 {
+			conn.BytesArrived(at(test.arrivedBy))
+		}
 		if got := conn.arrival(at(test.readAt), at(test.earliest)); !got.Equal(at(test.want)) {
 			t.Errorf("%s: came at %v, want %v", name, got.Sub(start), at(test.want).Sub(start))
 		}
--- a/internal/listener/socket.go
+++ b/internal/listener/socket.go
@@ -29,6 +29,8 @@
 	pollFDs        [1]unix.PollFd
 	isDisconnected bool                  // the client has closed the connection, whatever it sent before
 	pollClose      func(fd uintptr) bool // sets isDisconnected and returns it
+	sinceData      time.Duration         // since the last bytes came; see socketstate.SinceData
+	pollSinceData  func(fd uintptr)      // sets sinceData
 }
 
 func newSocket(conn net.Conn) *socket {
@@ -40,6 +42,7 @@
 		s.isDisconnected = n > 0 && err == nil
 		return s.isDisconnected
 	}
+	s.pollSinceData = func(fd uintptr) { s.sinceData = socketstate.SinceData(fd) }
 	return s
 }
 
@@ -63,6 +66,16 @@
 // hasUnread reports whether bytes came that are not read, or the client has closed the connection. It asks the kernel.
 func (s *socket) hasUnread() bool { return s.raw != nil && socketstate.IsReadable(s.raw) }
 
+// arrivedBy returns when the last bytes that were read had come: before now, if they waited to be read.
+func (s *socket) arrivedBy() time.Time {
+	now := time.Now() // before the kernel is asked: a pause between the two is on the safe side
+	s.sinceData = 0
+	if s.raw.Control(s.pollSinceData) != nil {
+		return now
+	}
+	return now.Add(-s.sinceData)
+}
+
 // resumeReading interrupts awaitClose, or the next call of it.
 func (s *socket) resumeReading() {
 	_ = s.conn.SetReadDeadline(past) // fails on a closed connection only, which interrupts as well
--- a/internal/socketstate/socketstate.go
+++ b/internal/socketstate/socketstate.go
@@ -4,6 +4,9 @@
 import (
 	"errors"
 	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // IsReadable reports whether a read would return at once: with bytes that came, with the end of the connection, or with an error.
@@ -20,3 +23,19 @@
 	})
 	return err != nil || !errors.Is(peekErr, syscall.EAGAIN)
 }
+
+// clockTick is the longest step of the clock that the kernel stamps connections with.
+const clockTick = 10 * time.Millisecond
+
+// SinceData returns how long ago the last bytes came on a connection, read or not; 0 if that is within a step of the kernel's clock,
+// or not known. Bytes that are read may have come earlier than the last ones.
+func SinceData(fd uintptr) time.Duration {
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	if since := time.Duration(info.Last_data_recv) * time.Millisecond; since > clockTick {
+		return since
+	}
+	return 0
+}
