--- a/tests/pauses_test.go
+++ b/tests/pauses_test.go
@@ -53,6 +53,15 @@
 // platform allows 150 ms beyond.
 func TestClientsTimeRunsWhileTheNodeDoesNot(t *testing.T) {
 	t.Parallel()
+	for _, order := range [][]string{{"known", "new"}, {"new", "known"}} { // connections that requests come on, a pause for each
+		t.Run(strings.Join(order, " then "), func(t *testing.T) {
+			t.Parallel()
+			checkClientsTimeAcrossPauses(t, order)
+		})
+	}
+}
+
+func checkClientsTimeAcrossPauses(t *testing.T, connections []string) {
 	const timeout, pause, allowed = 3 * time.Second, 2 * time.Second, 150 * time.Millisecond
 	server, release := harness.NewStuckCacheServer(t)
 	defer release()
@@ -60,9 +69,10 @@
 	node.Start()
 	known := node.Dial()
 	known.Get("k", "first").Want("value-first")
-	for name, client := range map[string]*harness.Client{"known": known, "new": nil} {
+	for _, name := range connections {
 		node.Process.Pause()
-		if client == nil {
+		client := known
+		if name == "new" {
 			client = node.Dial()
 		}
 		sentAt := time.Now()
