Repeat a health check whose timeout the node finds late

Cause: a health check had 0.5 s of the clock, whether or not the node ran in them. After a pause its timer fires before the answer that waits is read (internal/node/healthcheck.go), and counted as a failed one.

Change: a timeout that is found 50 ms late or more has the check sent again, once, and the policy is not told. Once, so that a node that is always late still finds servers that do not answer (TestHealthCheckIsRepeatedOnce). What shows a pause is a package of its own now (internal/pause), which the listener uses too.

Ruled out: a longer timeout instead (the write of the check and its wait for a connection end with the same deadline, and would fail by themselves).

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -5,6 +5,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"shelfproxy/internal/pause"
 	"shelfproxy/internal/request"
 )
 
@@ -60,7 +61,7 @@
 // come at a given time. A command may have come while its connection waited to be accepted, but not before the write of the response
 // to the last command began, unless its client pipelines.
 func (c *Conn) arrivalAcrossPause(now, earliest time.Time) time.Time {
-	waited := c.acceptedAt.Sub(c.quietSince) >= minPause // never once a response was written
+	waited := pause.IsShown(c.quietSince, c.acceptedAt) // never once a response was written
 	if waited && now.Sub(c.acceptedAt) < settleTime || earliest.Before(c.quietSince) {
 		return c.quietSince
 	}
--- a/internal/listener/pause.go
+++ b/internal/listener/pause.go
@@ -1,12 +1,14 @@
 package listener
 
-import "time"
+import (
+	"time"
 
-const (
-	minPause   = 50 * time.Millisecond // a call that comes this late shows a pause; a third of what the platform allows a node to be held up
-	settleTime = 50 * time.Millisecond // after a pause, in which what came during it is read
+	"shelfproxy/internal/pause"
 )
 
+// settleTime is the time after a pause in which what came during it is read.
+const settleTime = 50 * time.Millisecond
+
 // acceptQueue knows since when connections may have waited in the kernel's queue, as none could be accepted.
 type acceptQueue struct {
 	blockedFrom, blockedUntil time.Time // the last time for which none could be
@@ -49,7 +51,7 @@
 }
 
 func (p *pauseTracker) isOverdue(now time.Time) bool {
-	return !p.nextCall.IsZero() && now.Sub(p.nextCall) >= minPause
+	return !p.nextCall.IsZero() && pause.IsShown(p.nextCall, now)
 }
 
 // earliestArrival returns when bytes that are read now may have come: now, but for a pause.
--- a/internal/listener/pause_test.go
+++ b/internal/listener/pause_test.go
@@ -3,21 +3,23 @@
 import (
 	"testing"
 	"time"
+
+	"shelfproxy/internal/pause"
 )
 
 // TestArrivalIsBeforeAPause: what is read after a pause may have come at its beginning, whichever goroutine runs first; later, and
 // without a pause, it came when it is read.
 func TestArrivalIsBeforeAPause(t *testing.T) {
-	const wait, pause = 100 * time.Millisecond, time.Second
+	const wait, pauseLength = 100 * time.Millisecond, time.Second
 	start := time.Unix(1000, 0)
 	var tracker pauseTracker
 	tracker.called(start, wait)
-	tracker.called(start.Add(wait+minPause-time.Millisecond), wait) // a little late
-	lastCall := start.Add(wait + minPause - time.Millisecond)
+	tracker.called(start.Add(wait+pause.MinLength-time.Millisecond), wait) // a little late
+	lastCall := start.Add(wait + pause.MinLength - time.Millisecond)
 	if now := lastCall.Add(wait); !tracker.earliestArrival(now).Equal(now) {
 		t.Errorf("without a pause: came %v before it is read, want 0", now.Sub(tracker.earliestArrival(now)))
 	}
-	resumed := lastCall.Add(pause)
+	resumed := lastCall.Add(pauseLength)
 	if got := tracker.earliestArrival(resumed); !got.Equal(lastCall) {
 		t.Errorf("before the call that shows the pause: came %v after its beginning, want 0", got.Sub(lastCall))
 	}
@@ -90,7 +92,7 @@
 // TestArrivalIsNotBoundedByTheEndOfAWrite: a client may have its response long before the process sees the end of the write, and the
 // next command may come meanwhile.
 func TestArrivalIsNotBoundedByTheEndOfAWrite(t *testing.T) {
-	const pause = 2 * time.Second
+	const pauseLength = 2 * time.Second
 	start := time.Unix(1000, 0)
 	core := newTestCore(start, coreTestLimits)
 	conn := core.Accepted(start, start)
@@ -98,7 +100,7 @@
 	core.ExpireIdle(start, &effects)
 	core.BytesReceived(start, conn, copy(conn.ReadBuffer(), "*1\r\n$4\r\nPING\r\n"), &effects)
 	core.NextToWrite(start, conn, nil)
-	resumed := start.Add(pause)
+	resumed := start.Add(pauseLength)
 	core.WriteCompleted(resumed, conn, true, &effects)
 	effects = nil
 	core.BytesReceived(resumed, conn, copy(conn.ReadBuffer(), "*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$2\r\nid\r\n$13\r\nc=read,d=3000\r\n"), &effects)
--- a/internal/node/healthcheck.go
+++ b/internal/node/healthcheck.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"shelfproxy/internal/pause"
 	"shelfproxy/internal/policy"
 	"shelfproxy/internal/upstream"
 )
@@ -12,7 +13,9 @@
 const healthCheckTimeout = 500 * time.Millisecond
 
 // checkHealth sends a health check to an endpoint; an unknown one is ignored.
-func (c *Core) checkHealth(id string) {
+func (c *Core) checkHealth(id string) { c.sendHealthCheck(id, false) }
+
+func (c *Core) sendHealthCheck(id string, isRepeated bool) {
 	endpoint := c.endpoints[id]
 	if endpoint == nil {
 		return
@@ -25,21 +28,43 @@
 		c.endHealthCheck(endpoint, check, outcome)
 		return
 	}
-	c.timers.add(check.Deadline, func() {
-		if c.endHealthCheck(endpoint, check, upstream.TimedOut) {
-			endpoint.pool.Abandon(check)
-			endpoint.pool.CloseIdle() // to a machine that is cut off they would stay open and unresponsive
-		}
-	})
+	c.timers.add(check.Deadline, func() { c.expireHealthCheck(endpoint, check, isRepeated) })
+}
+
+// expireHealthCheck gives up a health check that has no answer in time. If the process did not run for a part of that time its answer may
+// wait to be read, so it is sent once more.
+func (c *Core) expireHealthCheck(endpoint *endpoint, check *upstream.Attempt, isRepeated bool) {
+	if !endpoint.removeHealthCheck(check) {
+		return
+	}
+	endpoint.pool.Abandon(check)
+	isListed := c.endpoints[check.Server] == endpoint
+	if isListed && !isRepeated && pause.IsShown(check.Deadline, c.environment.Now()) {
+		c.sendHealthCheck(check.Server, true)
+		return
+	}
+	c.reportHealthCheck(check, upstream.TimedOut)
+	endpoint.pool.CloseIdle() // to a machine that is cut off they would stay open and unresponsive
 }
 
-// endHealthCheck queues the result of a health check for the policy, unless the check has ended already, and reports whether it did.
-func (c *Core) endHealthCheck(endpoint *endpoint, check *upstream.Attempt, outcome upstream.Outcome) bool {
-	i := slices.Index(endpoint.healthChecks, check)
+// endHealthCheck takes the outcome of a health check, unless the check has ended already.
+func (c *Core) endHealthCheck(endpoint *endpoint, check *upstream.Attempt, outcome upstream.Outcome) {
+	if endpoint.removeHealthCheck(check) {
+		c.reportHealthCheck(check, outcome)
+	}
+}
+
+// reportHealthCheck queues the result of a health check for the policy.
+func (c *Core) reportHealthCheck(check *upstream.Attempt, outcome upstream.Outcome) {
+	c.events = append(c.events, policy.HealthChecked{Server: check.Server, Reason: outcome.Reason()})
+}
+
+// removeHealthCheck forgets a health check, and reports whether it had not ended yet.
+func (e *endpoint) removeHealthCheck(check *upstream.Attempt) bool {
+	i := slices.Index(e.healthChecks, check)
 	if i < 0 {
 		return false
 	}
-	endpoint.healthChecks = slices.Delete(endpoint.healthChecks, i, i+1)
-	c.events = append(c.events, policy.HealthChecked{Server: check.Server, Reason: outcome.Reason()})
+	e.healthChecks = slices.Delete(e.healthChecks, i, i+1)
 	return true
 }
--- a/internal/node/healthcheck_test.go
+++ b/internal/node/healthcheck_test.go
@@ -13,6 +13,8 @@
 	n.handle("unanswered", "read")
 	n.cacheServer.writeAll()
 	n.cacheServer.endOldest(upstream.ConnectionLost)
+	n.origin.writeAll()
+	n.origin.endOldest(upstream.Served) // else the next read of the key waits for this one
 }
 
 // pause moves the clock on as if the process had not run, so that all timers are late.
