Repeat a connect whose timeout the node finds late

Cause: a dial had 0.25 s of the clock, whether or not the node ran in them (internal/upstream/socket.go). After a pause its timer fires before the connection, which was established meanwhile, is looked at.

Nothing was written on it, so nothing is sent twice.

Test: TestConnectAcrossAPauseIsRepeated.

--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"shelfproxy/internal/pause"
 	"shelfproxy/internal/socketstate"
 )
 
@@ -59,8 +60,10 @@
 
 // dial opens a connection and starts its reader and its writer.
 func (p *Pool) dial(conn *Conn, addr string) {
-	dialer := net.Dialer{Timeout: p.connectTimeout}
-	netConn, err := dialer.DialContext(context.Background(), "tcp", addr)
+	netConn, err := connectAcrossPauses(p.connectTimeout, time.Now, func() (net.Conn, error) {
+		dialer := net.Dialer{Timeout: p.connectTimeout}
+		return dialer.DialContext(context.Background(), "tcp", addr)
+	})
 	isEstablished := err == nil
 	if isEstablished {
 		conn.Socket = newSocket(p, netConn)
@@ -78,6 +81,17 @@
 	p.carryOut(effects, false)
 }
 
+// connectAcrossPauses calls connect, and once more if its timeout is found so late that the process did not run for a while: the
+// server may have been there in time.
+func connectAcrossPauses(timeout time.Duration, now func() time.Time, connect func() (net.Conn, error)) (net.Conn, error) {
+	due := now().Add(timeout)
+	conn, err := connect()
+	if err != nil && pause.IsShown(due, now()) {
+		return connect()
+	}
+	return conn, err
+}
+
 // nextToWrite returns the next attempt to write, if any, and whether the connection is still open. The caller holds mu.
 func (p *Pool) nextToWrite(conn *Conn, socket *socket, effects *Effects) (attempt *Attempt, isOpen bool) {
 	isStale := conn.IsIdle() && socket.isStale()
--- /dev/null
+++ b/internal/upstream/socket_test.go
@@ -0,0 +1,32 @@
+package upstream
+
+import (
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+// TestConnectAcrossAPauseIsRepeated: the time of a connect that ran out while the process did not run says nothing of the server.
+func TestConnectAcrossAPauseIsRepeated(t *testing.T) {
+	const timeout = 250 * time.Millisecond
+	for name, test := range map[string]struct {
+		took  [2]time.Duration // of each connect that fails
+		calls int
+	}{
+		"refused":      {[2]time.Duration{time.Millisecond}, 1},
+		"timed out":    {[2]time.Duration{timeout + 10*time.Millisecond}, 1},
+		"paused":       {[2]time.Duration{2 * time.Second, timeout}, 2},
+		"paused twice": {[2]time.Duration{2 * time.Second, 2 * time.Second}, 2},
+	} {
+		now, calls := time.Unix(1000, 0), 0
+		conn, err := connectAcrossPauses(timeout, func() time.Time { return now }, func() (net.Conn, error) {
+			now = now.Add(test.took[calls])
+			calls++
+			return nil, os.ErrDeadlineExceeded
+		})
+		if conn != nil || err == nil || calls != test.calls {
+			t.Errorf("%s: got connection %v and error %v after %d connects, want an error after %d", name, conn, err, calls, test.calls)
+		}
+	}
+}
