Show that a supervisor that did not run replaces all of its nodes at once

Seen: TestPauseOfTheSupervisorReplacesNothing, 4 of 4 processes hang and a starting one is killed after a pause, at the first tick, before any report is read; all instances were replaced at once.

TestHungProcessIsReplacedWhileHalted let 5 s pass in one step, which no longer is a hang alone; it passes them in ticks now, and asks the same.

--- a/internal/supervisor/core_test.go
+++ b/internal/supervisor/core_test.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -330,8 +331,10 @@
 	hung, healthy := machine.current(0), machine.current(1)
 	machine.step(HaltRequested{})
 	machine.step(ResponseCounts{hung, 10, 0})
-	machine.now += machine.core.cfg.HangTimeout
-	machine.step(ResponseCounts{healthy, 10, 0})
+	for range machine.core.cfg.HangTimeout / tickInterval {
+		machine.now += tickInterval
+		machine.step(ResponseCounts{healthy, 10, 0})
+	}
 	successor := machine.core.lastProcess
 	if machine.logged[LogHung] != 1 || successor == hung {
 		t.Fatalf("%d hang and the last process is %d, want one, and a successor of %d", machine.logged[LogHung], successor, hung)
@@ -351,6 +354,25 @@
 	}
 }
 
+// TestPauseOfTheSupervisorReplacesNothing: while the supervisor does not run it reads no report, so that time counts against no process.
+func TestPauseOfTheSupervisorReplacesNothing(t *testing.T) {
+	machine := newFakeMachine(t, testConfig(4, 2))
+	machine.runHealthy(2 * time.Second)
+	machine.step(ReplaceRequested{0})
+	machine.step(Tick{})
+	before := machine.allCurrent()
+	cfg := machine.core.cfg
+	machine.now += 2 * max(cfg.HangTimeout, cfg.ReadyTimeout, cfg.TerminateTimeout)
+	machine.step(Tick{})
+	machine.runHealthy(time.Second)
+	if hung, late := machine.logged[LogHung], machine.logged[LogNotReady]; hung != 0 || late != 0 {
+		t.Errorf("%d processes hang and %d are not ready in time, want none", hung, late)
+	}
+	if after := machine.allCurrent(); !slices.Equal(before[1:], after[1:]) {
+		t.Errorf("processes %v serve after the pause, want %v", after[1:], before[1:])
+	}
+}
+
 // TestInstancesServeUnderAnyEvents: whatever processes and operators do, in any order, no process that serves is told to terminate
 // before another one of its instance does, no more than MaxConcurrent instances are replaced at once, and all serve once every
 // process behaves.
