Exclude the time in which a supervisor did not run from its waits for nodes

Cause: the core compares its clock with the last report, the start and the order to terminate of each process (health.go checkHang, core.go checkTimeouts). After a pause of the supervisor, of the whole machine say, the first tick comes before any report is read, and all processes were taken for hung.

Change: a second between two steps, which come twenty times a second, shows a pause; all waits of all processes are moved on by it.

--- a/internal/supervisor/core.go
+++ b/internal/supervisor/core.go
@@ -15,6 +15,9 @@
 // Time is a point on the supervisor's clock.
 type Time = time.Duration
 
+// minPause is the time between two steps that shows that the supervisor did not run. Ticks come twenty times a second.
+const minPause = time.Second
+
 // Core decides for all instances. It is not safe for concurrent use.
 type Core struct {
 	cfg           Config
@@ -25,6 +28,7 @@
 	isReplacing   bool // replacements were requested and not all of them are done
 	isStopping    bool
 	stoppedIsSent bool
+	lastStepAt    Time
 	effects       []Effect // of the current step
 }
 
@@ -40,6 +44,7 @@
 // carried out; they belong to the caller. Events of unknown processes and instances have no effect.
 func (c *Core) Step(now Time, ev Event) []Effect {
 	c.effects = nil
+	c.excludePause(now)
 	switch e := ev.(type) {
 	case Ready:
 		c.handleReady(now, e)
@@ -62,6 +67,20 @@
 	return c.effects
 }
 
+// excludePause moves all waits on by the time in which the supervisor did not run: no process could reach it in that time.
+func (c *Core) excludePause(now Time) {
+	gap := now - c.lastStepAt
+	c.lastStepAt = now
+	if gap < minPause {
+		return
+	}
+	for i := range c.instances {
+		for _, p := range c.instances[i].processes() {
+			p.excludePause(gap)
+		}
+	}
+}
+
 func (c *Core) emit(effect Effect) { c.effects = append(c.effects, effect) }
 
 func (c *Core) log(kind LogEventKind, instance, process int) {
--- a/internal/supervisor/instance.go
+++ b/internal/supervisor/instance.go
@@ -1,6 +1,9 @@
 package supervisor
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // process is one process, from its start to its end.
 type process struct {
@@ -17,6 +20,16 @@
 	isHung           bool
 }
 
+// excludePause moves the process's waits on by the length of a pause of the supervisor.
+func (p *process) excludePause(length time.Duration) {
+	p.startedAt += length
+	p.readyAt += length
+	p.terminatingSince += length
+	if p.lastReportAt > 0 {
+		p.lastReportAt += length
+	}
+}
+
 // failureRate is the fraction of a process's responses that failed. It has reported some.
 func (p *process) failureRate() float64 { return p.failed / p.responses }
 
