--- a/internal/socketstate/socketstate_test.go
+++ b/internal/socketstate/socketstate_test.go
@@ -9,37 +9,23 @@
 
 // TestSinceData: the time since the last bytes came runs whether or not they are read.
 func TestSinceData(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	client, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	server, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
+	const rest = 300 * time.Millisecond
+	client, server := connectionPair(t)
 	raw, err := server.(syscall.Conn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
-	const rest = 300 * time.Millisecond
-	for _, readsBefore := range []bool{false, true} {
+	for _, isReadAtOnce := range []bool{false, true} {
 		sentFrom := time.Now()
 		if _, err := client.Write([]byte("x")); err != nil {
 			t.Fatal(err)
 		}
 		sentBy := time.Now()
-		if readsBefore {
+		if isReadAtOnce {
 			readByte(t, server)
 		}
 		time.Sleep(rest)
-		if !readsBefore {
+		if !isReadAtOnce {
 			readByte(t, server)
 		}
 		least := time.Since(sentBy)
@@ -48,11 +34,38 @@
 			t.Fatal(err)
 		}
 		if most := time.Since(sentFrom); since < least-clockTick || since > most+clockTick {
-			t.Errorf("read before the rest %v: got %v, want %v to %v", readsBefore, since, least, most)
+			t.Errorf("read at once %v: got %v, want %v to %v", isReadAtOnce, since, least, most)
 		}
 	}
 }
 
+// connectionPair returns both ends of a connection, which end with the test.
+func connectionPair(t *testing.T) (client, server net.Conn) {
+	t.Helper()
+	var listenConfig net.ListenConfig
+	listener, err := listenConfig.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var dialer net.Dialer
+	client, err = dialer.DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err = listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for _, closer := range []interface{ Close() error }{client, server, listener} {
+			if err := closer.Close(); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	return client, server
+}
+
 func readByte(t *testing.T, conn net.Conn) {
 	t.Helper()
 	if _, err := conn.Read(make([]byte, 1)); err != nil {
