Give the listener's reader a typed event, and split its loop

The loop had grown by the look for unread bytes and by the kernel's time of bytes: waiting, the core's call and the check stood in one function of 34 lines. Names of newer code that use a plain word where there is a term are changed with it (isWhole, isCheckDue, due). What the reader does is as it was.

--- a/internal/jsonsplit/jsonsplit.go
+++ b/internal/jsonsplit/jsonsplit.go
@@ -24,8 +24,8 @@
 		}
 		position = next
 	}
-	isWhole := skipSpace(object, position+1) == len(object)
-	return start, end, end > 0 && isWhole
+	isComplete := skipSpace(object, position+1) == len(object)
+	return start, end, end > 0 && isComplete
 }
 
 // member is a member of an object: its name, and where its value stands.
--- a/internal/jsonsplit/jsonsplit_test.go
+++ b/internal/jsonsplit/jsonsplit_test.go
@@ -78,8 +78,8 @@
 			return
 		}
 		rest := string(text[:start]) + "[]" + string(text[end:])
-		if whole := isParsed(string(text)); whole != (areValid && isParsed(rest)) {
-			t.Errorf("%q: whole %v, elements %v, rest %v", text, whole, areValid, isParsed(rest))
+		if isValid := isParsed(string(text)); isValid != (areValid && isParsed(rest)) {
+			t.Errorf("%q: valid %v, elements %v, rest %v", text, isValid, areValid, isParsed(rest))
 		}
 	})
 }
--- a/internal/listener/core_property_test.go
+++ b/internal/listener/core_property_test.go
@@ -17,14 +17,14 @@
 
 // modelClient is a client and its side of a connection.
 type modelClient struct {
-	conn       *Conn
-	unanswered []string // ids of commands without a response, in order
-	sent       []byte   // not yet read by the core
-	mayResume  bool     // the core may have more to take of what it has read
-	received   string   // of the write that is going on
-	isWriting  bool
-	isEnded    bool
-	isCheckDue bool // the core wants to know of unread bytes
+	conn             *Conn
+	unanswered       []string // ids of commands without a response, in order
+	sent             []byte   // not yet read by the core
+	mayResume        bool     // the core may have more to take of what it has read
+	received         string   // of the write that is going on
+	isWriting        bool
+	isEnded          bool
+	isCheckRequested bool // the core wants to know of unread bytes
 }
 
 // modelRequest is a request that the core has handed to its handler.
@@ -70,7 +70,7 @@
 		case ClientDisconnected:
 			m.recordDisconnect(t, effect.Request)
 		case CheckUnread:
-			m.clientOf(effect.Conn).isCheckDue = true
+			m.clientOf(effect.Conn).isCheckRequested = true
 		case HalfClose:
 			m.checkOrderlyEnd(t, m.clientOf(effect.Conn))
 		case CloseConnection:
@@ -144,10 +144,10 @@
 
 // checkUnread tells the core of unread bytes, if it wants to know.
 func (m *coreModel) checkUnread(t *rapid.T, client *modelClient) {
-	if !client.isCheckDue {
+	if !client.isCheckRequested {
 		return
 	}
-	client.isCheckDue = false
+	client.isCheckRequested = false
 	var effects Effects
 	m.core.UnreadChecked(m.now, client.conn, len(client.sent) > 0, &effects)
 	m.carryOut(t, effects)
--- a/internal/listener/loops.go
+++ b/internal/listener/loops.go
@@ -6,36 +6,25 @@
 	"time"
 )
 
+// readEvent is what a reader found on its connection. One without a field that is set says that the wait was interrupted.
+type readEvent struct {
+	size          int       // of the bytes in the connection's buffer
+	arrivedBy     time.Time // when the bytes had come
+	isEnded       bool      // the connection has ended
+	isUnreadCheck bool      // the core has asked for unread bytes
+	hasUnread     bool      // there are some
+}
+
 // readLoop moves what the client sends to the core until the connection ends. While the connection is paused it waits for the client's
 // close alone.
 func (l *Listener) readLoop(conn *Conn, socket *socket) {
 	defer l.loops.Done()
 	var effects Effects
-	var arrivedBy time.Time
 	for isPaused, isOver := false, false; !isOver; {
-		n, isEnded := receive(conn, socket, isPaused)
-		isCheckRequested := n == 0 && !isEnded && socket.isCheckRequested.Swap(false)
-		hasUnread := isCheckRequested && socket.hasUnread()
-		if n > 0 {
-			arrivedBy = socket.arrivedBy()
-		}
+		event := nextReadEvent(conn, socket, isPaused)
 		effects = effects[:0]
 		l.mu.Lock()
-		now := time.Now()
-		if isCheckRequested {
-			l.core.UnreadChecked(now, conn, hasUnread, &effects)
-		}
-		switch {
-		case isEnded:
-			l.core.ConnectionEnded(now, conn, &effects)
-		case conn.IsClosed():
-			l.discarded.Add(int64(n))
-		case n > 0:
-			conn.BytesArrived(arrivedBy)
-			l.core.BytesReceived(now, conn, n, &effects)
-		case isPaused:
-			l.core.Resume(now, conn, &effects)
-		}
+		l.handleReadEvent(conn, event, isPaused, &effects)
 		isOver = conn.IsClosed() && !conn.IsLingering()
 		isPaused = !conn.IsClosed() && conn.IsPaused()
 		l.mu.Unlock()
@@ -44,6 +33,37 @@
 	}
 }
 
+// handleReadEvent passes an event to the core. The caller holds the lock.
+func (l *Listener) handleReadEvent(conn *Conn, event readEvent, isPaused bool, effects *Effects) {
+	now := time.Now()
+	if event.isUnreadCheck {
+		l.core.UnreadChecked(now, conn, event.hasUnread, effects)
+	}
+	switch {
+	case event.isEnded:
+		l.core.ConnectionEnded(now, conn, effects)
+	case conn.IsClosed():
+		l.discarded.Add(int64(event.size))
+	case event.size > 0:
+		conn.BytesArrived(event.arrivedBy)
+		l.core.BytesReceived(now, conn, event.size, effects)
+	case isPaused:
+		l.core.Resume(now, conn, effects)
+	}
+}
+
+// nextReadEvent waits until there is something to read, or the wait is interrupted.
+func nextReadEvent(conn *Conn, socket *socket, isPaused bool) (event readEvent) {
+	event.size, event.isEnded = receive(conn, socket, isPaused)
+	switch {
+	case event.size > 0:
+		event.arrivedBy = socket.arrivedBy()
+	case !event.isEnded && socket.isCheckRequested.Swap(false):
+		event.isUnreadCheck, event.hasUnread = true, socket.hasUnread()
+	}
+	return event
+}
+
 // receive waits for bytes of the client, or for its close alone while the connection is paused. It returns the number of bytes in the
 // connection's buffer, and whether the connection has ended. Neither says that the wait was interrupted.
 func receive(conn *Conn, socket *socket, isPaused bool) (n int, isEnded bool) {
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -7,5 +7,5 @@
 // MinLength is how late something is found at least, if that shows a pause: a third of what the platform allows a node to be held up.
 const MinLength = 50 * time.Millisecond
 
-// IsShown reports whether what was due at a time is found so late that the process did not run for a while.
-func IsShown(due, now time.Time) bool { return now.Sub(due) >= MinLength }
+// IsShown reports whether what was scheduled for a time is found so late that the process did not run for a while.
+func IsShown(scheduledAt, now time.Time) bool { return now.Sub(scheduledAt) >= MinLength }
