Bound the requests that a play excuses for crossing the end of a connection

Need: excuses an unread request if its connection, idle for less than a second, ends within 50 ms.

Change: a play fails if there are more than two of them and more than 1 in 100 requests.

--- a/internal/testbed/clients/clients.go
+++ b/internal/testbed/clients/clients.go
@@ -83,6 +83,14 @@
 
 	mu      sync.Mutex
 	classes []Class
+	crossed int64 // requests that may have crossed the end of a connection that was idle for less than racingIdle
+}
+
+// Crossed returns how many requests may have crossed the end of a connection that was hardly idle.
+func (c *Clients) Crossed() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crossed
 }
 
 // New prepares the load of a plan.
--- a/internal/testbed/clients/send.go
+++ b/internal/testbed/clients/send.go
@@ -122,7 +122,13 @@
 		c.count(r, func(class *Class) { class.Unanswered++ })
 		return true
 	}
-	maybeUnread := time.Since(sentAt) <= longestCrossing(conn, sentAt)
+	limit := longestCrossing(conn, sentAt)
+	maybeUnread := time.Since(sentAt) <= limit
+	if maybeUnread && limit == crossingClose {
+		c.mu.Lock()
+		c.crossed++
+		c.mu.Unlock()
+	}
 	if observer := c.options.Observer; observer != nil {
 		observer.ConnectionEnded(r.id, maybeUnread)
 	}
--- a/internal/testbed/demo/demo.go
+++ b/internal/testbed/demo/demo.go
@@ -229,6 +229,7 @@
 	// A request that was sent in the last moment and not answered shows at its deadline, when its client has given it up.
 	r.emulator.Do(func(now time.Duration, _ *model.System, check *invariants.Checker) { check.Advance(now) })
 	result.Classes, result.Generator = load.Classes(), load.Generator()
+	result.Failures = append(result.Failures, checkCrossings(load.Crossed(), result.Classes)...)
 	result.Summary = r.emulator.Summary()
 	result.Elapsed = time.Since(r.began)
 	return result
--- a/internal/testbed/demo/owed.go
+++ b/internal/testbed/demo/owed.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"os"
+
+	"shelfproxy/internal/testbed/clients"
 )
 
 // countersLine is what this package reads of the line that a node logs with its counters as it ends.
@@ -31,6 +33,25 @@
 	return requests, lines.Err()
 }
 
+// Bounds of the requests that cross the end of a connection that was hardly idle: it takes the moment between a node's look for unread
+// bytes and the end. A node that does not look has more.
+const (
+	maxCrossed     = 2
+	maxCrossedPart = 0.01 // of all requests
+)
+
+// checkCrossings returns a failure if more requests crossed the ends of connections than such moments explain.
+func checkCrossings(crossed int64, classes []clients.Class) []error {
+	requests := int64(0)
+	for i := range classes {
+		requests += classes[i].Scheduled
+	}
+	if crossed <= maxCrossed || float64(crossed) <= maxCrossedPart*float64(requests) {
+		return nil
+	}
+	return []error{fmt.Errorf("connections of clients ended under %d of %d requests", crossed, requests)}
+}
+
 // checkConnectionEnds returns a failure for each instance that read requests and ended their connections without an answer.
 func (r *run) checkConnectionEnds() (failures []error) {
 	for _, instance := range r.instances {
