Publish which part of a node holds its memory, in gauges and in memory_short

Change: five gauges in INFO and in the counters of the log, taken four times a second with the look at the memory pressure; memory_short names the same figures. memoryMonitor moves from resources.go into a file of its own.

--- a/internal/admission/unsent_bytes.go
+++ b/internal/admission/unsent_bytes.go
@@ -23,6 +23,9 @@
 	}
 }
 
+// UnsentBytes returns the bytes of unsent responses on all connections together.
+func (t *ConnectionTable) UnsentBytes() int { return t.unsent }
+
 // NextStuck marks for closing a connection whose client reads nothing, if all connections together have too many unsent
 // bytes. The caller closes the connection at once. Its unsent bytes will never be written, so they no longer count.
 func (t *ConnectionTable) NextStuck(now Time) (id uint64, found bool) {
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -30,6 +30,7 @@
 	daemon := newDaemon(cfg, operatorFile, parent)
 	daemon.limitRuntime()
 	daemon.counters = newCounters(cfg)
+	daemon.memory = newMemoryMonitor(cfg, daemon.counters)
 	daemon.descriptors = newDescriptors(cfg)
 	if err := daemon.openPeerSocket(terminate); err != nil {
 		return nil, err
@@ -57,7 +58,6 @@
 		rootLog:      rootLog,
 		log:          logs.Component(rootLog, "daemon"),
 		parent:       parent,
-		memory:       newMemoryMonitor(cfg),
 		drainGranted: make(chan struct{}, 1),
 		stopNode:     make(chan struct{}),
 		nodeEnded:    make(chan struct{}),
@@ -157,7 +157,7 @@
 
 // upstreamFactory returns a function that creates the connection pool to a cache server or to the origin.
 func (d *Daemon) upstreamFactory() func(discovery.Server, bool, func(*upstream.Attempt, upstream.Response)) node.Upstream {
-	memory := newResponseMemory(d.cfg)
+	memory := d.memory.responses
 	toCacheServer, toOrigin := cacheServerLimits(d.cfg), originLimits(d.cfg)
 	return func(server discovery.Server, isOrigin bool, report func(*upstream.Attempt, upstream.Response)) node.Upstream {
 		if isOrigin {
--- a/internal/daemon/resources.go
+++ b/internal/daemon/resources.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"runtime/metrics"
 	"time"
 
 	"shelfproxy/internal/admission"
@@ -47,36 +46,3 @@
 	d.log.Debug("descriptors were rebalanced", logs.Event, "descriptors_moved", "clients", limits[admission.Clients],
 		"targets", limits[admission.CacheServers], "origin", limits[admission.Origin])
 }
-
-// memoryMonitor observes how close the process is to its memory limit.
-type memoryMonitor struct {
-	pressure  admission.MemoryPressure
-	lastLevel float64 // the memory pressure that the node was last told
-}
-
-func newMemoryMonitor(cfg *config.Config) memoryMonitor {
-	return memoryMonitor{pressure: admission.MemoryPressure{Limit: int64(megabytes(cfg.MemoryMB))}}
-}
-
-// observeMemory measures the memory in use and tells the node if the memory pressure has changed. The argument now is the time since
-// the start.
-func (d *Daemon) observeMemory(now time.Duration) {
-	level := d.memory.pressure.Observe(now, memoryInUse())
-	if level == d.memory.lastLevel {
-		return
-	}
-	if d.memory.lastLevel == 0 {
-		d.log.Warn("memory is short: requests of the lowest priority weight are rejected", logs.Event, "memory_short",
-			"limit_mb", d.cfg.MemoryMB)
-	}
-	d.memory.lastLevel = level
-	d.node.SetMemoryPressure(level)
-}
-
-// memoryInUse returns the number of bytes that the Go runtime has obtained from the operating system and not released.
-func memoryInUse() int64 {
-	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
-	metrics.Read(samples)
-	total, released := samples[0].Value.Uint64(), samples[1].Value.Uint64()
-	return int64(total - released)
-}
--- a/internal/listener/core.go
+++ b/internal/listener/core.go
@@ -84,6 +84,9 @@
 	return c.table.Len() + len(c.lingering), c.capacityExhausted
 }
 
+// UnsentBytes returns the bytes of the responses that are not written to their clients yet.
+func (c *Core) UnsentBytes() int { return c.table.UnsentBytes() }
+
 // SetMaxConnections changes the maximum number of connections.
 func (c *Core) SetMaxConnections(n int, effects *Effects) {
 	c.maxConnections = n
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -172,6 +172,13 @@
 	return l.core.Usage()
 }
 
+// UnsentBytes returns the bytes of the responses that are not written to their clients yet.
+func (l *Listener) UnsentBytes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.UnsentBytes()
+}
+
 // SetMaxConnections changes the maximum number of connections.
 func (l *Listener) SetMaxConnections(n int) {
 	l.call(func(_ time.Time, effects *Effects) { l.core.SetMaxConnections(n, effects) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"shelfproxy/internal/counters"
@@ -57,6 +58,7 @@
 	core    *Core       // used by the event loop only
 	monitor loopMonitor // used by the event loop only
 	count   *counters.Counters
+	queued  *atomic.Int64 // bytes of the responses that the pools have reported and the event loop has not handled yet
 	intake  *intake
 	// The queues are never closed: work that is sent after the loop's end is dropped.
 	queue   chan func()
@@ -67,18 +69,30 @@
 // New returns a node, which serves requests once Run is called. It returns an error if the policy rejects its settings.
 func New(options Options) (*Node, error) {
 	n := &Node{monitor: newLoopMonitor(options.Log, options.Counters), count: options.Counters, intake: newIntake(), queue: make(chan func(), queueLength),
-		lists: make(chan func(), listsQueueLength), stopped: make(chan struct{})}
+		queued: options.Counters.Register("memory_responses_queued_bytes"),
+		lists:  make(chan func(), listsQueueLength), stopped: make(chan struct{})}
 	var err error
 	n.core, err = NewCore(options, Environment{
-		Now: time.Now,
-		ReportOutcome: func(attempt *upstream.Attempt, response upstream.Response) {
-			n.post(n.queue, func() { n.core.AttemptEnded(attempt, response) })
-		},
+		Now:            time.Now,
+		ReportOutcome:  n.reportOutcome,
 		PostListUpdate: func(update func()) { n.post(n.lists, update) },
 	})
 	return n, err
 }
 
+// reportOutcome hands the outcome of an attempt to the event loop.
+func (n *Node) reportOutcome(attempt *upstream.Attempt, response upstream.Response) {
+	size := int64(len(response.Value))
+	n.queued.Add(size)
+	n.post(n.queue, func() {
+		n.queued.Add(-size)
+		n.core.AttemptEnded(attempt, response)
+	})
+}
+
+// QueuedResponseBytes returns the bytes of the responses that the pools have reported and the event loop has not handled yet.
+func (n *Node) QueuedResponseBytes() int64 { return n.queued.Load() }
+
 // post hands work to the event loop, and waits while the queue is full. The work is dropped if the loop has ended.
 func (n *Node) post(queue chan func(), work func()) {
 	select {
--- a/internal/upstream/response_memory.go
+++ b/internal/upstream/response_memory.go
@@ -10,13 +10,14 @@
 // usual, but only a few such values may arrive at once. A nil ResponseMemory does not bound the total. It is safe for concurrent
 // use.
 type ResponseMemory struct {
+	total       int // size of the budget, in bytes
 	maxResponse int // largest value that is accepted, in bytes
 	available   atomic.Int64
 }
 
 // NewResponseMemory returns a budget of the given number of bytes. One response takes at most maxResponse of them.
 func NewResponseMemory(bytes, maxResponse int) *ResponseMemory {
-	m := &ResponseMemory{maxResponse: maxResponse}
+	m := &ResponseMemory{total: bytes, maxResponse: maxResponse}
 	m.available.Store(int64(bytes))
 	return m
 }
@@ -47,3 +48,6 @@
 
 // Available returns the bytes that may still be reserved. It must not be called on nil.
 func (m *ResponseMemory) Available() int { return int(m.available.Load()) }
+
+// Reserved returns the bytes that are reserved. It must not be called on nil.
+func (m *ResponseMemory) Reserved() int { return m.total - m.Available() }
