Close a client as stuck only while a write to it is in progress

Callers saw: with many bytes unsent, the connection of a client that reads all it is sent was closed with its requests unanswered, if its first response came over 250 ms after its later ones.

Cause: admission.ConnectionTable took a connection for one that reads nothing when 32 KiB of its responses had been ready for StuckTimeout (unsent_bytes.go, progressAt). Responses behind one that is not ready can't be written, so the client could not read.

Change: the time counts from the start of a write, and only connections with a write in progress count, with their unsent bytes, against the bound. AddUnsentBytes is split into ResponseReady, WriteStarted and WriteEnded.

TestReaderThatWaitsForAnEarlierResponseIsNotStuck fails on ("the connection was closed (stuck) while its first response is not ready"), and passes now; a write of which the client reads nothing still ends as stuck, in the same test.

--- a/internal/admission/connection_policy.go
+++ b/internal/admission/connection_policy.go
@@ -17,9 +17,8 @@
 	// idle timeouts are IdleTimeouts.Long. They shrink as the table fills further, and are IdleTimeouts.Short from
 	// CrowdedFull on.
 	CrowdedFrom, CrowdedFull float64
-	// MaxUnsentBytes bounds the unsent bytes of responses on all connections together; 0 means no bound. Past it,
-	// connections whose clients read nothing for StuckTimeout are closed. The connection that has made no progress for
-	// the longest time is closed first.
+	// MaxUnsentBytes bounds the unsent bytes of responses on all connections with a write in progress together; 0 means
+	// no bound. Past it, connections whose clients read nothing for StuckTimeout are closed, the longest write first.
 	MaxUnsentBytes int
 	StuckTimeout   time.Duration
 	// LookAhead is how far ahead the growth of the table is extrapolated: a table that grows counts as fuller than it
--- a/internal/admission/connection_stage.go
+++ b/internal/admission/connection_stage.go
@@ -53,8 +53,9 @@
 	isLastInvalid bool    // the last command was invalid
 	hasPartial    bool    // the connection has sent part of a command
 
-	unsent     int  // bytes of responses that are ready but not written
-	progressAt Time // when bytes of responses were last written or, after all were written, the next became ready
+	unsent       int  // bytes of responses that are ready but not written
+	isWriting    bool // a write of responses is in progress
+	writingSince Time // when the write in progress started
 
 	queue          *idleQueue // queue of idle connections that holds this connection; nil if none does
 	previous, next *connection
--- a/internal/admission/connection_table.go
+++ b/internal/admission/connection_table.go
@@ -13,6 +13,7 @@
 	queues      [numQueues]idleQueue // queues of idle connections; see queueIndex
 	closing     int                  // number of connections that are marked for closing and not closed yet
 	unsent      int                  // bytes of unsent responses, on all connections together
+	writing     int                  // bytes of unsent responses, on all connections with a write in progress together
 	slowReaders map[uint64]*connection
 	growth      growthRate
 }
@@ -100,8 +101,7 @@
 	}
 	c.unlink()
 	delete(t.connections, id)
-	delete(t.slowReaders, id)
-	t.unsent -= c.unsent
+	t.addUnsent(c, -c.unsent)
 	if c.isClosing {
 		t.closing--
 	}
--- a/internal/listener/core_property_test.go
+++ b/internal/listener/core_property_test.go
@@ -52,7 +52,7 @@
 	model := &coreModel{core: newTestCore(now, limits), limits: limits, now: now, requests: map[string]*modelRequest{}, replied: map[string]bool{}, current: t}
 	model.core.Reply = func(conn *Conn, slot *ResponseSlot, response request.Response) {
 		var effects Effects
-		model.core.Respond(model.now, conn, slot, response, &effects)
+		model.core.Respond(conn, slot, response, &effects)
 		model.carryOut(model.current, effects)
 	}
 	return model
--- a/internal/listener/expiry_test.go
+++ b/internal/listener/expiry_test.go
@@ -30,7 +30,7 @@
 		CrowdedIdleTimeout: time.Minute, IdleTimeout: time.Minute})
 	core.Reply = func(conn *Conn, slot *ResponseSlot, response request.Response) {
 		var effects Effects
-		core.Respond(now, conn, slot, response, &effects)
+		core.Respond(conn, slot, response, &effects)
 	}
 	var effects Effects
 	receive := func(conn *Conn, text string) {
@@ -70,3 +70,33 @@
 		t.Errorf("after the response: closed %v, lingering %v, want both", conn.IsClosed(), conn.IsLingering())
 	}
 }
+
+// TestReaderThatWaitsForAnEarlierResponseIsNotStuck guards against the loss of requests of a client that reads well: its later
+// responses are ready and too many bytes, but they wait for its first response, so the client can't read anything.
+func TestReaderThatWaitsForAnEarlierResponseIsNotStuck(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newTestCore(now, Limits{MaxConnections: 64, MaxPipelined: 3, MaxValue: 100, FirstCommandTimeout: time.Minute,
+		CrowdedIdleTimeout: time.Minute, IdleTimeout: time.Minute, MaxUnsentBytes: 100 << 10})
+	conn := core.Accepted(now, now)
+	var effects Effects
+	for i := range 3 {
+		command := fmt.Sprintf("*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$1\r\n%d\r\n$13\r\nc=read,d=3000\r\n", i)
+		core.BytesReceived(now, conn, copy(conn.ReadBuffer(), command), &effects)
+	}
+	slots := conn.slots
+	long := request.Response{Kind: request.Served, Value: make([]byte, 64<<10)}
+	core.Respond(conn, slots[1], long, &effects)
+	core.Respond(conn, slots[2], long, &effects)
+	now = now.Add(2 * stuckTimeout)
+	if core.ExpireIdle(now, &effects); conn.IsClosed() {
+		t.Fatalf("the connection was closed (%v) while its first response is not ready, want it open", conn.End().Reason)
+	}
+	core.Respond(conn, slots[0], long, &effects)
+	if _, size := core.NextToWrite(now, conn, nil); size < len(long.Value) {
+		t.Fatalf("got %d bytes to write once the first response is ready, want the response", size)
+	}
+	now = now.Add(2 * stuckTimeout)
+	if core.ExpireIdle(now, &effects); !conn.IsClosed() {
+		t.Error("the connection is open although its client read nothing of a write, want it closed as stuck")
+	}
+}
--- a/internal/listener/golden_test.go
+++ b/internal/listener/golden_test.go
@@ -43,7 +43,7 @@
 			r := effects[i].Request
 			lines.Text("request", fmt.Sprintf("key %q, id %q, class %s, tenant %q, extras %q, write %v, value %q, wait %v",
 				r.Key, r.ID, r.Class, r.Tenant, r.Parameters, r.IsWrite, r.Value, r.ClientTimeout))
-			core.Respond(now, conn, conn.slots[0], responses[given%len(responses)], &effects)
+			core.Respond(conn, conn.slots[0], responses[given%len(responses)], &effects)
 			given++
 		}
 		out, _ := core.NextToWrite(now, conn, nil)
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -221,7 +221,7 @@
 func (l *Listener) respond(conn *Conn, slot *ResponseSlot, response request.Response) {
 	effects := make(Effects, 0, initialResponseEffectsCapacity)
 	l.mu.Lock()
-	l.core.Respond(time.Now(), conn, slot, response, &effects)
+	l.core.Respond(conn, slot, response, &effects)
 	l.mu.Unlock()
 	l.carryOut(effects)
 }
--- a/internal/listener/responses.go
+++ b/internal/listener/responses.go
@@ -13,12 +13,12 @@
 
 // Respond stores the response to a request in its slot. The response is written after those to all earlier commands of the
 // connection.
-func (c *Core) Respond(now time.Time, conn *Conn, slot *ResponseSlot, response request.Response, effects *Effects) {
+func (c *Core) Respond(conn *Conn, slot *ResponseSlot, response request.Response, effects *Effects) {
 	if conn.isClosed || slot.isReady {
 		return
 	}
 	slot.prefix, slot.value = encodeResponse(response)
-	c.table.AddUnsentBytes(c.tableTime(now), conn.id, slot.size())
+	c.table.ResponseReady(conn.id, slot.size())
 	slot.isReady = true
 	slot.request = nil // otherwise the command and its value would stay in memory until the earlier responses are written
 	c.notifyWriter(conn, effects)
@@ -70,7 +70,10 @@
 			buffers = append(buffers, slot.value, crlf)
 		}
 	}
-	conn.writingSince = now
+	if size > 0 {
+		conn.writingSince = now
+		c.table.WriteStarted(c.tableTime(now), conn.id)
+	}
 	return buffers, size
 }
 
@@ -89,7 +92,7 @@
 	// The slots are removed only after the write: a connection with slots is not idle, so it is not closed during the write.
 	unsentBytes := unsentResponseBytes(conn.slots[:written])
 	conn.slots = append(conn.slots[:0:0], conn.slots[written:]...)
-	c.table.AddUnsentBytes(c.tableTime(now), conn.id, -unsentBytes)
+	c.table.WriteEnded(conn.id, unsentBytes)
 	c.table.ResponsesWritten(c.tableTime(now), conn.id, written)
 	conn.sentAfter = conn.writingSince // the client may have received the responses at once and sent its next command
 	switch {
--- a/internal/testbed/simulation/node.go
+++ b/internal/testbed/simulation/node.go
@@ -133,7 +133,7 @@
 	n.listener = listener.NewCore(n.now(), n.classNames(), nil, limits, n.counters)
 	n.listener.Reply = func(conn *listener.Conn, slot *listener.ResponseSlot, response request.Response) {
 		var effects listener.Effects
-		n.listener.Respond(n.now(), conn, slot, response, &effects)
+		n.listener.Respond(conn, slot, response, &effects)
 		n.execute(effects)
 	}
 }
