--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -137,6 +137,7 @@
 		Seed:             d.cfg.Seed,
 		MaxOpenRequests:  d.cfg.Node.MaxOpenRequests,
 		MaxRequestBytes:  megabytes(d.cfg.MemoryMB) / requestMemoryDivisor,
+		ResponseMemory:   d.memory.responses,
 		MaxClientTimeout: d.cfg.Node.MaxDeadline,
 		InitialList:      d.cfg.InitialList,
 		Source:           discoverySource(d.cfg),
@@ -157,15 +158,16 @@
 
 // upstreamFactory returns a function that creates the connection pool to a cache server or to the origin.
 func (d *Daemon) upstreamFactory() func(discovery.Server, bool, func(*upstream.Attempt, upstream.Response)) node.Upstream {
-	memory := d.memory.responses
+	cacheServers := upstream.Budgets{Descriptors: d.descriptors.cacheServers, Responses: d.memory.responses}
+	origins := upstream.Budgets{Descriptors: d.descriptors.origin, Responses: d.memory.responses}
 	toCacheServer, toOrigin := cacheServerLimits(d.cfg), originLimits(d.cfg)
 	return func(server discovery.Server, isOrigin bool, report func(*upstream.Attempt, upstream.Response)) node.Upstream {
 		if isOrigin {
-			codec := origin.Codec{Host: server.Addr, Memory: memory}
-			return upstream.NewPool(server.Addr, codec, toOrigin, d.descriptors.origin, report,
+			codec := origin.Codec{Host: server.Addr, MaxValue: maxResponse(d.cfg)}
+			return upstream.NewPool(server.Addr, codec, toOrigin, origins, report,
 				func() { d.counters.OriginConnections.Add(1) })
 		}
-		return upstream.NewPool(server.Addr, resp.Codec{Memory: memory}, toCacheServer, d.descriptors.cacheServers, report,
+		return upstream.NewPool(server.Addr, resp.Codec{MaxValue: maxResponse(d.cfg)}, toCacheServer, cacheServers, report,
 			func() { d.counters.UpstreamConnections.Add(1) })
 	}
 }
@@ -187,7 +189,7 @@
 		return err
 	}
 	maxConnections := d.descriptors.split.Limits()[admission.Clients]
-	d.listener = listener.New(socket, d.node, classNames(d.cfg), tenantNames(d.cfg), listenerLimits(d.cfg, maxConnections), d.counters,
+	d.listener = listener.New(socket, d.node, classNames(d.cfg), tenantNames(d.cfg), listenerLimits(d.cfg, maxConnections, d.memory.responses), d.counters,
 		logs.Component(d.rootLog, "listener"))
 	return nil
 }
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -9,18 +9,19 @@
 	"shelfproxy/internal/config"
 	"shelfproxy/internal/counters"
 	"shelfproxy/internal/logs"
-	"shelfproxy/internal/upstream"
 )
 
 // memoryMonitor observes how close the process is to its memory limit, and publishes what holds the memory.
 type memoryMonitor struct {
 	pressure  admission.MemoryPressure
 	lastLevel float64 // the memory pressure that the node was last told
-	responses *upstream.ResponseMemory
+	responses *admission.ResponseMemory
 
 	// The counters below are gauges, in bytes, as of the last observation: what the Go runtime uses, the largest such value since
-	// the start, the responses that are arriving from servers, and the responses that wait to be written to clients.
-	inUse, peak, arriving, unsent *atomic.Int64
+	// the start, the memory that is reserved for responses, and the responses that wait to be written to clients.
+	inUse, peak, reserved, unsent *atomic.Int64
+	// waited counts the reservations for responses that have had to wait.
+	waited *atomic.Int64
 }
 
 func newMemoryMonitor(cfg *config.Config, count *counters.Counters) memoryMonitor {
@@ -29,8 +30,9 @@
 		responses: newResponseMemory(cfg),
 		inUse:     count.Register("memory_in_use_bytes"),
 		peak:      count.Register("memory_peak_bytes"),
-		arriving:  count.Register("memory_responses_arriving_bytes"),
+		reserved:  count.Register("memory_responses_reserved_bytes"),
 		unsent:    count.Register("memory_responses_unsent_bytes"),
+		waited:    count.Register("memory_responses_waited"),
 	}
 }
 
@@ -38,8 +40,9 @@
 func (m *memoryMonitor) publish(inUse int64, unsent int) {
 	m.inUse.Store(inUse)
 	m.peak.Store(max(inUse, m.peak.Load()))
-	m.arriving.Store(int64(m.responses.Reserved()))
+	m.reserved.Store(int64(m.responses.Used()))
 	m.unsent.Store(int64(unsent))
+	m.waited.Store(int64(m.responses.Waits()))
 }
 
 // observeMemory measures the memory in use and tells the node if the memory pressure has changed. The argument now is the time since
@@ -53,7 +56,7 @@
 	}
 	if d.memory.lastLevel == 0 {
 		d.log.Warn("memory is short: requests of the lowest priority weight are rejected", logs.Event, "memory_short",
-			"limit_mb", d.cfg.MemoryMB, "in_use_bytes", inUse, "arriving_bytes", d.memory.arriving.Load(),
+			"limit_mb", d.cfg.MemoryMB, "in_use_bytes", inUse, "reserved_bytes", d.memory.reserved.Load(),
 			"queued_bytes", d.node.QueuedResponseBytes(), "unsent_bytes", d.memory.unsent.Load())
 	}
 	d.memory.lastLevel = level
--- a/internal/daemon/sizing.go
+++ b/internal/daemon/sizing.go
@@ -12,8 +12,8 @@
 // Divisors of the node's memory. Each use below may take the node's memory divided by its divisor.
 const (
 	requestMemoryDivisor  = 4  // requests that are not answered yet
-	unsentMemoryDivisor   = 6  // responses that are being sent to clients
-	responseMemoryDivisor = 8  // long responses that are being received from servers
+	responseMemoryDivisor = 4  // responses, from when they arrive from servers until they are written to clients
+	unsentMemoryDivisor   = 8  // responses that are being written, past which clients that read nothing are disconnected
 	maxResponseDivisor    = 32 // one response; longer ones are refused, such as a length of 3 GB from a faulty server
 )
 
@@ -97,14 +97,19 @@
 	return limits
 }
 
-// newResponseMemory returns the memory budget for long responses that are being received from servers.
-func newResponseMemory(cfg *config.Config) *upstream.ResponseMemory {
-	memory := megabytes(cfg.MemoryMB)
-	return upstream.NewResponseMemory(memory/responseMemoryDivisor, max(minResponseBytes, memory/maxResponseDivisor))
+// newResponseMemory returns the memory budget for responses.
+func newResponseMemory(cfg *config.Config) *admission.ResponseMemory {
+	return admission.NewResponseMemory(megabytes(cfg.MemoryMB) / responseMemoryDivisor)
 }
 
-// listenerLimits returns the limits of the connections of clients. maxConnections is the maximum number of connections at the start.
-func listenerLimits(cfg *config.Config, maxConnections int) listener.Limits {
+// maxResponse returns the length of the longest response that is accepted from a server, in bytes.
+func maxResponse(cfg *config.Config) int {
+	return max(minResponseBytes, megabytes(cfg.MemoryMB)/maxResponseDivisor)
+}
+
+// listenerLimits returns the limits of the connections of clients. maxConnections is the maximum number of connections at the
+// start.
+func listenerLimits(cfg *config.Config, maxConnections int, responses *admission.ResponseMemory) listener.Limits {
 	operator := cfg.Operator.Listener
 	return listener.Limits{
 		MaxConnections:      maxConnections,
@@ -115,5 +120,6 @@
 		CrowdedIdleTimeout:  operator.CrowdedIdleTimeout.D(),
 		IdleTimeout:         operator.IdleTimeout.D(),
 		MaxUnsentBytes:      megabytes(cfg.MemoryMB) / unsentMemoryDivisor,
+		ResponseMemory:      responses,
 	}
 }
--- a/internal/listener/commands.go
+++ b/internal/listener/commands.go
@@ -18,11 +18,11 @@
 )
 
 // decode dispatches the complete commands that were read from a connection. It pauses the connection when MaxPipelined commands
-// wait for responses.
+// wait for responses, or when there is no memory for the response to a further one.
 func (c *Core) decode(now time.Time, conn *Conn, effects *Effects) {
 	conn.isPaused = false
 	for !conn.isClosed {
-		if len(conn.slots) >= c.limits.MaxPipelined {
+		if len(conn.slots) >= c.limits.MaxPipelined || conn.framing.hasBytes() && !c.reserveForNext(conn) {
 			conn.isPaused = true
 			return
 		}
@@ -30,6 +30,7 @@
 		command, err := conn.commands.ReadCommand()
 		switch {
 		case errors.Is(err, errNeedMoreBytes):
+			c.releaseForNext(conn)
 			if conn.framing.hasPartialCommand() {
 				c.table.PartialCommand(c.tableTime(now), conn.id)
 			}
@@ -84,6 +85,13 @@
 		return
 	}
 	r.ConnectionID = conn.id
+	switch {
+	case len(conn.slots) == 0:
+		r.MarkNext()
+	case !r.IsWrite:
+		r.SetReservedMemory(conn.reservedMemory)
+		conn.reservedMemory = 0
+	}
 	slot := &ResponseSlot{request: r, isRequest: true}
 	r.Reply = func(response request.Response) { c.Reply(conn, slot, response) }
 	c.table.CommandReceived(c.tableTime(now), conn.id, admission.CommandRequest)
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -5,6 +5,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"shelfproxy/internal/admission"
 	"shelfproxy/internal/pause"
 	"shelfproxy/internal/request"
 )
@@ -14,6 +15,9 @@
 type Conn struct {
 	// Socket is the shell's data of the connection; the core does not use it.
 	Socket any
+	// NotifyMemory has the shell call Core.Resume if the connection is paused. It must not block, and it may be called under any
+	// lock. The shell sets it before the first call of BytesReceived.
+	NotifyMemory func()
 
 	id                  uint64 // identifies the connection in the connection table
 	framing             framingGuard
@@ -21,13 +25,16 @@
 	slots               []*ResponseSlot // one per command whose response is not written yet, in the order of the commands
 	writing             int             // number of leading slots whose responses are being written
 	writingSince        time.Time       // when the last write of responses began
-	isPaused            bool            // set while MaxPipelined commands wait for responses: no further command is read
-	isFramingBroken     bool            // the framing is broken: no further byte is read
-	closeAfterResponses bool            // close the connection once all pending responses are written
-	isCheckingUnread    bool            // CheckUnread has been requested, and UnreadChecked has not been called yet
-	wasKeptPastDeadline bool            // the connection was kept open once after the drain deadline, because unread bytes had arrived
-	endReason           EndReason       // why the connection closes; valid once closeAfterResponses or isClosed is set
-	end                 End             // valid once isClosed is set
+	isPaused            bool            // no further command is read: MaxPipelined commands wait for responses, or there is no memory for another response
+	responseSize        sizeEstimate
+	reservedMemory      int                   // bytes of response memory that are reserved for the response to the next command
+	memoryWait          *admission.MemoryWait // the reservation that the connection waits for; nil if it waits for none
+	isFramingBroken     bool                  // the framing is broken: no further byte is read
+	closeAfterResponses bool                  // close the connection once all pending responses are written
+	isCheckingUnread    bool                  // CheckUnread has been requested, and UnreadChecked has not been called yet
+	wasKeptPastDeadline bool                  // the connection was kept open once after the drain deadline, because unread bytes had arrived
+	endReason           EndReason             // why the connection closes; valid once closeAfterResponses or isClosed is set
+	end                 End                   // valid once isClosed is set
 	isClosed            bool
 	acceptedAt          time.Time
 	arrivedBy           time.Time // time by which the bytes that were read last had arrived; zero if unknown
@@ -36,7 +43,7 @@
 }
 
 func newConn(id uint64) *Conn {
-	conn := &Conn{id: id}
+	conn := &Conn{id: id, NotifyMemory: func() {}}
 	conn.commands = redcon.NewReader(&conn.framing)
 	return conn
 }
@@ -108,6 +115,8 @@
 	isReady   bool
 	prefix    []byte // the first bytes of the response, or all of them
 	value     []byte // written after prefix and followed by CRLF; nil if prefix is the whole response; not copied
+
+	reservedMemory int // bytes of response memory that hold value
 }
 
 func (s *ResponseSlot) size() int { return len(s.prefix) + len(s.value) }
--- a/internal/listener/core.go
+++ b/internal/listener/core.go
@@ -237,6 +237,8 @@
 			effects.add(ClientDisconnected, conn, slot.request)
 		}
 	}
+	c.releaseSlots(conn.slots)
+	c.releaseForNext(conn)
 	conn.slots = nil
 	effects.capacityAvailable()
 }
--- a/internal/listener/core_property_test.go
+++ b/internal/listener/core_property_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"shelfproxy/internal/admission"
 	"shelfproxy/internal/request"
 )
 
@@ -46,7 +47,8 @@
 }
 
 func newCoreModel(t *rapid.T) *coreModel {
-	limits := Limits{MaxConnections: 4, MaxPipelined: 3, MaxValue: 100, WriteTimeout: time.Second, MaxUnsentBytes: 100 << 10,
+	memory := admission.NewResponseMemory(rapid.SampledFrom([]int{1 << 20, 5000, 1000}).Draw(t, "response memory"))
+	limits := Limits{MaxConnections: 4, MaxPipelined: 3, MaxValue: 100, WriteTimeout: time.Second, MaxUnsentBytes: 100 << 10, ResponseMemory: memory,
 		FirstCommandTimeout: 2 * time.Second, CrowdedIdleTimeout: 50 * time.Millisecond, IdleTimeout: 5 * time.Second}
 	now := time.Unix(1000, 0)
 	model := &coreModel{core: newTestCore(now, limits), limits: limits, now: now, requests: map[string]*modelRequest{}, replied: map[string]bool{}, current: t}
@@ -210,7 +212,9 @@
 func (m *coreModel) connect(t *rapid.T) {
 	var effects Effects
 	if m.core.HasCapacity(m.now, &effects) && len(m.clients) < 8 {
-		m.clients = append(m.clients, &modelClient{conn: m.core.Accepted(m.now, m.now)})
+		client := &modelClient{conn: m.core.Accepted(m.now, m.now)}
+		client.conn.NotifyMemory = func() { client.mayResume = client.mayResume || client.conn.IsPaused() }
+		m.clients = append(m.clients, client)
 	}
 	m.carryOut(t, effects)
 }
@@ -242,6 +246,7 @@
 		response := request.Response{Kind: request.ResponseKind(rapid.IntRange(0, 2).Draw(t, "kind"))}
 		if response.Kind == request.Served {
 			response.Value = []byte("for-" + id)
+			response.ReservedMemory = r.TakeReservedMemory()
 		}
 		r.Reply(response)
 		return
@@ -297,6 +302,9 @@
 	}
 	m.now = m.now.Add(lingerTimeout) // lingering connections end at their deadline
 	m.expireIdle(t)
+	if used := m.limits.ResponseMemory.Used(); used != 0 {
+		t.Fatalf("%d bytes of response memory are reserved in the end, want none", used)
+	}
 	if used, _ := m.core.Usage(); used != 0 || len(m.core.conns) != 0 {
 		t.Fatalf("%d connections are used and %d open in the end, want none", used, len(m.core.conns))
 	}
@@ -305,7 +313,7 @@
 // TestCoreKeepsItsInvariantsInAnyOrderOfCalls makes random calls of a core, in any order that a shell could, and checks these
 // invariants. Each command gets one response, in order and with the reply of the handler; an invalid command gets an error. The
 // handler is told once that a client has disconnected. The number of commands that wait for responses is bounded. No connection
-// is closed gracefully while it has unread bytes. No connection is left in the end.
+// is closed gracefully while it has unread bytes. No connection is left in the end, and no response memory is reserved.
 func TestCoreKeepsItsInvariantsInAnyOrderOfCalls(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		model := newCoreModel(t)
--- a/internal/listener/framing.go
+++ b/internal/listener/framing.go
@@ -63,6 +63,9 @@
 // bytesRead records that n bytes were read into buffer. All earlier bytes must have been handed over.
 func (g *framingGuard) bytesRead(n int) { g.next, g.end = 0, n }
 
+// hasBytes reports whether bytes were read that have not been handed over.
+func (g *framingGuard) hasBytes() bool { return g.next < g.end }
+
 // hasPartialCommand reports whether the first part of a command was handed over, but not all of it.
 func (g *framingGuard) hasPartialCommand() bool { return g.state != expectHeader || g.argsLeft > 0 }
 
--- a/internal/listener/limits.go
+++ b/internal/listener/limits.go
@@ -14,6 +14,8 @@
 	WriteTimeout   time.Duration // bounds one write of responses; a connection whose write does not complete in this time is closed
 	MaxUnsentBytes int           // bytes of unsent responses to all clients together, past which connections whose clients read nothing are closed; 0 means no bound
 
+	ResponseMemory *admission.ResponseMemory // bounds the responses that the node holds; nil is no bound
+
 	// The fields below bound how long a connection without an open request may stay.
 
 	FirstCommandTimeout time.Duration // how long a client may take to send its first complete command; clients of the platform expect an error within 3 s
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -137,7 +137,7 @@
 	l.loops.Add(2)
 	l.call(func(now time.Time, _ *Effects) {
 		conn := l.core.Accepted(now, waitingSince)
-		conn.Socket = socket
+		conn.Socket, conn.NotifyMemory = socket, socket.resumeReading
 		go l.readLoop(conn, socket)
 		go l.writeLoop(conn, socket)
 	})
--- a/internal/listener/responses.go
+++ b/internal/listener/responses.go
@@ -15,8 +15,14 @@
 // connection.
 func (c *Core) Respond(conn *Conn, slot *ResponseSlot, response request.Response, effects *Effects) {
 	if conn.isClosed || slot.isReady {
+		c.limits.ResponseMemory.Release(response.ReservedMemory)
 		return
 	}
+	if response.Kind == request.Served && !slot.request.IsWrite {
+		conn.responseSize.observe(len(response.Value))
+	}
+	c.limits.ResponseMemory.Release(slot.request.TakeReservedMemory()) // what the response did not need
+	slot.reservedMemory = response.ReservedMemory
 	slot.prefix, slot.value = encodeResponse(response)
 	c.table.ResponseReady(conn.id, slot.size())
 	slot.isReady = true
@@ -91,7 +97,11 @@
 	}
 	// The slots are removed only after the write: a connection with slots is not idle, so it is not closed during the write.
 	unsentBytes := unsentResponseBytes(conn.slots[:written])
+	c.releaseSlots(conn.slots[:written])
 	conn.slots = append(conn.slots[:0:0], conn.slots[written:]...)
+	if len(conn.slots) > 0 && conn.slots[0].request != nil {
+		conn.slots[0].request.MarkNext()
+	}
 	c.table.WriteEnded(conn.id, unsentBytes)
 	c.table.ResponsesWritten(c.tableTime(now), conn.id, written)
 	conn.sentAfter = conn.writingSince // the client may have received the responses at once and sent its next command
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -47,6 +47,7 @@
 
 func (c *Core) attemptEnded(attempt *upstream.Attempt, response upstream.Response) {
 	if attempt.Request == nil {
+		c.options.ResponseMemory.Release(response.ReservedMemory)
 		if endpoint := c.endpoints[attempt.Server]; endpoint != nil {
 			c.endHealthCheck(endpoint, attempt, response.Outcome)
 		}
@@ -55,10 +56,11 @@
 	open := c.byRequest[attempt.Request]
 	if open == nil || attempt.Number >= len(open.attempts) || open.attempts[attempt.Number] != attempt {
 		c.options.Counters.LateResponses.Add(1) // the attempt was abandoned before
+		c.options.ResponseMemory.Release(response.ReservedMemory)
 		return
 	}
 	if response.Outcome == upstream.Served {
-		c.respond(open, request.Response{Kind: request.Served, Value: response.Value}, causeNone)
+		c.respond(open, request.Response{Kind: request.Served, Value: response.Value, ReservedMemory: response.ReservedMemory}, causeNone)
 	}
 	c.endAttempt(open, attempt, response.Outcome)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"shelfproxy/internal/admission"
 	"shelfproxy/internal/counters"
 	"shelfproxy/internal/discovery"
 	"shelfproxy/internal/policy"
@@ -35,8 +36,9 @@
 	Policy           policy.Settings
 	Seed             uint64 // seed of the policy's random numbers
 	MaxOpenRequests  int
-	MaxRequestBytes  int           // memory of the requests that are owed a response, in bytes; 0 is no bound
-	MaxClientTimeout time.Duration // longest timeout of any class, to which the timeouts of clients are cut; 0 is no bound
+	MaxRequestBytes  int                       // memory of the requests that are owed a response, in bytes; 0 is no bound
+	ResponseMemory   *admission.ResponseMemory // memory that the pools reserve for responses; nil is no bound
+	MaxClientTimeout time.Duration             // longest timeout of any class, to which the timeouts of clients are cut; 0 is no bound
 	InitialList      discovery.List
 	Source           discovery.Source
 	// NewUpstream returns the Upstream that carries attempts to a server. The Upstream calls report with the outcome of each
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -107,6 +107,7 @@
 // response is not a value; it is causeNone for a value.
 func (c *Core) respond(open *openRequest, response request.Response, cause string) {
 	if open == nil || open.isAnswered {
+		c.options.ResponseMemory.Release(response.ReservedMemory)
 		return
 	}
 	now := c.environment.Now()
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -23,7 +23,9 @@
 	// Reply delivers the one final response. The node calls it from its event loop, so it must not block.
 	Reply func(Response)
 
-	cancelled atomic.Bool
+	cancelled      atomic.Bool
+	isNext         atomic.Bool
+	reservedMemory atomic.Int64 // bytes
 }
 
 // Cancel records that the client has disconnected: nothing more may be started for the request. Cancel is safe for concurrent
@@ -33,6 +35,22 @@
 // IsCancelled reports whether the client has disconnected. It is safe for concurrent use.
 func (r *Request) IsCancelled() bool { return r.cancelled.Load() }
 
+// MarkNext records that all earlier commands of the connection are answered: the response to this request is the next one to be
+// written. It is safe for concurrent use.
+func (r *Request) MarkNext() { r.isNext.Store(true) }
+
+// IsNext reports whether the response to this request is the next one to be written on its connection. It is safe for concurrent
+// use.
+func (r *Request) IsNext() bool { return r.isNext.Load() }
+
+// SetReservedMemory records how many bytes of response memory are reserved for the response. The listener calls it before it hands
+// the request over.
+func (r *Request) SetReservedMemory(bytes int) { r.reservedMemory.Store(int64(bytes)) }
+
+// TakeReservedMemory returns the bytes that SetReservedMemory recorded to the first caller, who has to give them back, and 0 to all
+// others. It is safe for concurrent use.
+func (r *Request) TakeReservedMemory() int { return int(r.reservedMemory.Swap(0)) }
+
 var (
 	pairSeparator = []byte{','}
 	timeoutPrefix = []byte("d=")
@@ -86,6 +104,9 @@
 	Value      []byte        // only with Served
 	RetryAfter time.Duration // only with Rejected: how long the client should wait before a retry; 0 gives no advice
 	Text       string        // only with Invalid: why the request is invalid
+	// ReservedMemory is the response memory, in bytes, that holds Value. Whoever has the response releases it once the value is
+	// written or dropped.
+	ReservedMemory int
 }
 
 // Handler takes the requests that a listener reads. Its methods may block, so they must not be called from the node's event loop.
--- a/internal/testbed/simulation/draw.go
+++ b/internal/testbed/simulation/draw.go
@@ -130,6 +130,11 @@
 		p.NodeFaults = append(p.NodeFaults, NodeFault{KillNode, r.IntN(10), at().Least, 100 * time.Millisecond, r.IntN(10)})
 	}},
 	{"no-messages", 0.1, func(_ *rand.Rand, _ *scenario.Scenario, p *Plan, _ func() scenario.Span) { p.NoGossip = true }},
+	{"little-memory", 0.25, func(r *rand.Rand, s *scenario.Scenario, p *Plan, _ func() scenario.Span) {
+		s.Nodes.MemoryMB = 1 + r.IntN(2) // memory for the responses of a few requests at a time, so that others have to wait
+		s.Origin.ValueBytes = 20_000 + r.IntN(10_000)
+		p.Network.Pipeline = 0.2 + 0.7*r.Float64()
+	}},
 }
 
 // scarceCapacity makes servers so slow that a server in slow start has less capacity than its share of the load needs. It also
--- a/internal/testbed/simulation/node.go
+++ b/internal/testbed/simulation/node.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"shelfproxy/internal/admission"
 	"shelfproxy/internal/counters"
 	"shelfproxy/internal/discovery"
 	"shelfproxy/internal/fleet/lease"
@@ -34,7 +35,7 @@
 	listener          *listener.Core
 	pools             []*pool
 	conns             []*listenerConn // open connections of clients, in the order in which they were accepted
-	responseMemory    *upstream.ResponseMemory
+	responseMemory    *admission.ResponseMemory
 	timerAt           Time // when the next call of HandleTimers is scheduled; 0 if none is
 	listUpdateAt      Time // time at which the latest list update will be handled, or was handled
 	lastDiscoveryData Time // when the node last received a byte from discovery
@@ -76,7 +77,7 @@
 	for _, entry := range w.system.List().Entries { // the configuration of the new process contains this list
 		w.checker.NodeKnowsStart(n.index, entry.ID, entry.Started)
 	}
-	n.responseMemory = upstream.NewResponseMemory(plan.Nodes.MemoryMB<<20/responseMemoryPart, plan.Nodes.MemoryMB<<20/longestResponsePart)
+	n.responseMemory = admission.NewResponseMemory(plan.Nodes.MemoryMB << 20 / responseMemoryPart)
 	n.startCore()
 	n.startListener()
 	n.core.Start()
@@ -88,12 +89,12 @@
 	}
 }
 
-// Divisors of a node's memory, with the values of cmd/shelfproxy. For example, all responses together may use 1/8 of the memory.
+// Divisors of a node's memory, with the values of cmd/shelfproxy. For example, all responses together may use 1/4 of the memory.
 const (
-	responseMemoryPart  = 8
+	responseMemoryPart  = 4
 	longestResponsePart = 32
 	requestMemoryPart   = 4
-	unsentMemoryPart    = 6
+	unsentMemoryPart    = 8
 )
 
 // startCore creates the node core of a process that starts now.
@@ -105,6 +106,7 @@
 		Seed:             plan.Seed*1000 + uint64(n.index*100+n.incarnation),
 		MaxOpenRequests:  plan.Nodes.MaxOpen,
 		MaxRequestBytes:  plan.Nodes.MemoryMB << 20 / requestMemoryPart,
+		ResponseMemory:   n.responseMemory,
 		MaxClientTimeout: plan.maxDeadline(),
 		InitialList:      n.configuredList(),
 		Source:           discoverySource{n, n.incarnation},
@@ -129,6 +131,7 @@
 		IdleTimeout:         time.Minute,
 		CrowdedIdleTimeout:  50 * time.Millisecond,
 		MaxUnsentBytes:      nodes.MemoryMB << 20 / unsentMemoryPart,
+		ResponseMemory:      n.responseMemory,
 	}
 	n.listener = listener.NewCore(n.now(), n.classNames(), nil, limits, n.counters)
 	n.listener.Reply = func(conn *listener.Conn, slot *listener.ResponseSlot, response request.Response) {
@@ -142,8 +145,9 @@
 // the node currently simulates. They share two descriptor budgets: one for cache servers and one for origins.
 func (n *node) upstreamFactory() func(discovery.Server, bool, func(*upstream.Attempt, upstream.Response)) nodecore.Upstream {
 	plan, incarnation := n.world.plan, n.incarnation
-	cacheServers := upstream.NewDescriptorBudget(plan.Nodes.Sockets / 3)
-	origins := upstream.NewDescriptorBudget(max(1, plan.Nodes.Sockets/10))
+	cacheServers := upstream.Budgets{Descriptors: upstream.NewDescriptorBudget(plan.Nodes.Sockets / 3), Responses: n.responseMemory}
+	origins := upstream.Budgets{Descriptors: upstream.NewDescriptorBudget(max(1, plan.Nodes.Sockets/10)), Responses: n.responseMemory}
+	maxValue := plan.Nodes.MemoryMB << 20 / longestResponsePart
 	limits := upstream.Limits{
 		ConnectTimeout: plan.Nodes.ConnectTimeout.D(),
 		IdleTimeout:    plan.Nodes.ConnectionIdle.D() * 8 / 10,
@@ -157,10 +161,10 @@
 	return func(server discovery.Server, isOrigin bool, report func(*upstream.Attempt, upstream.Response)) nodecore.Upstream {
 		p := &pool{node: n, incarnation: incarnation, id: server.ID, report: report, written: map[*upstream.Attempt]*serverConn{}}
 		if isOrigin {
-			p.codec = origin.Codec{Host: server.Addr, Memory: n.responseMemory}
+			p.codec = origin.Codec{Host: server.Addr, MaxValue: maxValue}
 			p.core = upstream.NewCore(server.Addr, p.codec, originLimits, origins)
 		} else {
-			p.codec = resp.Codec{Memory: n.responseMemory}
+			p.codec = resp.Codec{MaxValue: maxValue}
 			p.core = upstream.NewCore(server.Addr, p.codec, limits, cacheServers)
 		}
 		p.core.Owner = p
--- a/internal/testbed/simulation/node_connections.go
+++ b/internal/testbed/simulation/node_connections.go
@@ -26,6 +26,7 @@
 	near, far := n.world.pipe(n.world.plan.Network.ToNode, n.world.plan.Network.ToClient)
 	c := &listenerConn{node: n, incarnation: n.incarnation, stream: far, core: n.listener.Accepted(n.now(), n.now())}
 	c.core.Socket = c
+	c.core.NotifyMemory = func() { n.schedule(n.lag(), c.resume) }
 	far.data = func(b []byte, _ Time) {
 		if n.incarnation == c.incarnation {
 			c.inbox = append(c.inbox, b...)
@@ -73,6 +74,16 @@
 	}
 }
 
+// resume has the listener core decode what was read before the connection was paused, and then reads on.
+func (c *listenerConn) resume() {
+	var effects listener.Effects
+	if !c.core.IsClosed() && c.core.IsPaused() {
+		c.node.listener.Resume(c.node.now(), c.core, &effects)
+	}
+	c.node.execute(effects)
+	c.scheduleRead()
+}
+
 // checkUnread tells the listener core whether the connection has bytes that the node has not read, or has ended.
 func (c *listenerConn) checkUnread() {
 	var effects listener.Effects
@@ -95,11 +106,7 @@
 			c := e.Conn.Socket.(*listenerConn)
 			n.schedule(n.lag(), c.write)
 		case listener.ResumeReading:
-			c := e.Conn.Socket.(*listenerConn)
-			var more listener.Effects
-			n.listener.Resume(n.now(), c.core, &more)
-			n.execute(more)
-			c.scheduleRead()
+			e.Conn.Socket.(*listenerConn).resume()
 		case listener.CheckUnread:
 			c := e.Conn.Socket.(*listenerConn)
 			n.schedule(n.lag(), c.checkUnread)
--- a/internal/testbed/simulation/node_faults.go
+++ b/internal/testbed/simulation/node_faults.go
@@ -122,7 +122,7 @@
 			n.world.violation(InvariantNoLeak, "node %d retains %d attempts for %s", n.index, attempts, p.id)
 		}
 	}
-	if available, all := n.responseMemory.Available(), n.world.plan.Nodes.MemoryMB<<20/responseMemoryPart; available != all {
-		n.world.violation(InvariantNoLeak, "node %d has not released %d bytes of response memory", n.index, all-available)
+	if used := n.responseMemory.Used(); used != 0 {
+		n.world.violation(InvariantNoLeak, "node %d has not released %d bytes of response memory", n.index, used)
 	}
 }
--- a/internal/testbed/simulation/pool.go
+++ b/internal/testbed/simulation/pool.go
@@ -185,7 +185,7 @@
 				socket.hasEnded, socket.wasReset = true, reset
 				socket.scheduleRead()
 			}
-			conn.Socket = socket
+			conn.Socket, conn.NotifyMemory = socket, func() { p.node.schedule(p.node.lag(), socket.memoryGranted) }
 			p.sockets = append(p.sockets, socket)
 			p.core.DialCompleted(p.now(), conn, true, &effects)
 		}
@@ -206,17 +206,23 @@
 	s.isReading = false
 	p := s.pool
 	var effects upstream.Effects
-	for len(s.inbox) > 0 && !s.conn.IsClosed() {
+	for len(s.inbox) > 0 && !s.conn.IsClosed() && !s.conn.IsWaitingForMemory() {
 		n := copy(s.conn.Decoder.ReadBuffer(), s.inbox)
 		s.inbox = s.inbox[n:]
 		p.core.BytesReceived(p.now(), s.conn, n, &effects)
 	}
-	if s.hasEnded && !s.conn.IsClosed() {
+	if s.hasEnded && !s.conn.IsClosed() && !s.conn.IsWaitingForMemory() {
 		p.core.ConnectionEnded(p.now(), s.conn, !s.wasReset, &effects)
 	}
 	p.execute(effects)
 }
 
+// memoryGranted has the upstream core go on once the memory that the connection waited for is granted, and then reads on.
+func (s *poolSocket) memoryGranted() {
+	s.pool.call(func(effects *upstream.Effects) { s.pool.core.MemoryGranted(s.pool.now(), s.conn, effects) })
+	s.scheduleRead()
+}
+
 // writeNext writes the next request that waits on the connection, and then all requests that wait behind it.
 func (s *poolSocket) writeNext() {
 	pool, world := s.pool, s.pool.node.world
--- a/internal/upstream/close.go
+++ b/internal/upstream/close.go
@@ -18,7 +18,7 @@
 	c.conns = removeFrom(c.conns, conn)
 	c.idle = removeFrom(c.idle, conn)
 	effects.closeConnection(conn)
-	conn.Decoder.Release()
+	c.releaseMemory(conn)
 	c.budget.release(conn, effects)
 	pending := conn.pending
 	conn.pending, conn.unwritten = nil, nil
--- a/internal/upstream/close_test.go
+++ b/internal/upstream/close_test.go
@@ -15,7 +15,7 @@
 	for isOrderly, want := range map[bool]upstream.Outcome{true: upstream.Served, false: upstream.ConnectionLost} {
 		now := time.Unix(1000, 0)
 		limits := upstream.Limits{ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxStreams: 1, MaxConnections: 1, MaxQueued: 1}
-		core := upstream.NewCore("o", origin.Codec{Host: "o"}, limits, upstream.NewDescriptorBudget(1))
+		core := upstream.NewCore("o", origin.Codec{Host: "o"}, limits, upstream.Budgets{Descriptors: upstream.NewDescriptorBudget(1)})
 		attempt := &upstream.Attempt{Request: &request.Request{Key: []byte("k"), ID: []byte("i")}, SentAt: now, Deadline: now.Add(time.Minute)}
 		var effects upstream.Effects
 		core.Send(now, attempt, &effects)
--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -5,11 +5,12 @@
 	"time"
 )
 
-// Errors of Decoder.NextResponse.
-var (
-	ErrMalformedResponse = errors.New("malformed response")
-	ErrResponseTooLarge  = errors.New("response exceeds the available response memory")
-)
+// ErrMalformedResponse is the error of Decoder.NextResponse for bytes that are not a valid response.
+var ErrMalformedResponse = errors.New("malformed response")
+
+// DefaultMaxValue is the largest value, in bytes, that a decoder accepts unless its codec says otherwise. It is the limit in the
+// protocol's documentation.
+const DefaultMaxValue = 64 << 10
 
 // Response is what a server sent in response to an attempt.
 type Response struct {
@@ -17,6 +18,9 @@
 	Value           []byte // the value or receipt of a Served attempt
 	LoadReport      []byte // the server's report of its load, as it was sent; empty without a report
 	ConnectionClose bool   // the server closes the connection after this response
+	// ReservedMemory is the part of the pool's ResponseMemory, in bytes, that holds the value. It belongs to whoever has the
+	// response, who releases it once the value is written or dropped.
+	ReservedMemory int
 }
 
 // Codec encodes requests and decodes responses in the protocol of an endpoint. It is safe for concurrent use.
@@ -35,11 +39,14 @@
 	// BytesRead records that the first n bytes of the read buffer were filled.
 	BytesRead(n int)
 	// NextResponse returns the next complete response; false if more bytes are needed. ended says that no more bytes will come.
-	// The error is ErrMalformedResponse for bytes that are not a valid response, and ErrResponseTooLarge for a response that
-	// exceeds the available response memory.
+	// The error is ErrMalformedResponse for bytes that are not a valid response.
 	NextResponse(ended bool) (Response, bool, error)
 	// Buffered returns the number of bytes that have arrived and belong to no returned response.
 	Buffered() int
-	// Release returns the reserved response memory to its budget. It is called when the connection is closed.
-	Release()
+	// NeededMemory returns the bytes of memory that the incomplete response takes beside the usual read buffer, as far as its size
+	// is known; 0 if it is not known, or the read buffer is enough.
+	NeededMemory() int
+	// DiscardValue has the value of the incomplete response dropped as it arrives. The response then has an empty value. It returns
+	// false if the decoder can't do so.
+	DiscardValue() bool
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"slices"
 	"time"
+
+	"shelfproxy/internal/admission"
 )
 
 // Conn is one connection to a server. Core and its shell share it: the shell calls its methods and uses its Decoder under the lock
@@ -14,6 +16,9 @@
 	// Decoder decodes the bytes that the shell reads. The shell may fill the buffer that ReadBuffer returned without holding the
 	// lock.
 	Decoder Decoder
+	// NotifyMemory has the shell call Core.MemoryGranted. It must not block, and it may be called under any lock. The shell sets it
+	// before DialCompleted.
+	NotifyMemory func()
 
 	dialedFor    *Attempt   // the attempt that the connection is being opened for; nil if any waiting attempt may use it
 	pending      []*Attempt // attempts without a complete response, in the order in which responses come
@@ -23,6 +28,13 @@
 	closeOutcome Outcome   // outcome of the attempts that were possibly executed when the connection closed
 	idleSince    time.Time // meaningful while the connection is in Core.idle
 
+	received       Response              // a complete response that is not delivered yet; valid while hasReceived is set
+	hasReceived    bool                  // received waits for its memory
+	isDiscarding   bool                  // the value of the response that arrives is discarded, as there is no memory for it
+	mayNotWait     bool                  // the response that arrives has waited for memory, or has got some without a wait
+	reservedMemory int                   // bytes that are reserved for the response that arrives
+	memoryWait     *admission.MemoryWait // the reservation that the connection waits for; nil if it waits for none
+
 	// The fields below are used by DescriptorBudget only, under its lock.
 
 	idleElement *list.Element // the connection's element in DescriptorBudget.idle; nil while the connection is not idle
--- a/internal/upstream/core.go
+++ b/internal/upstream/core.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"shelfproxy/internal/admission"
 )
 
 // Limits holds the timeouts and the size limits of a connection pool.
@@ -15,6 +17,12 @@
 	PipelineWithin time.Duration // an attempt is pipelined behind one sent less than this long ago, instead of opening a connection
 }
 
+// Budgets are the resources that the pools of several servers share.
+type Budgets struct {
+	Descriptors *DescriptorBudget
+	Responses   *admission.ResponseMemory // nil is no bound
+}
+
 // Core manages the connections to one server. It decides which connection carries an attempt, which attempts wait, when a
 // connection is opened or closed, and how each attempt ends. It has no clock, sockets or goroutines: its methods take the current
 // time as an argument and append the effects that the shell has to carry out. It is not safe for concurrent use.
@@ -25,6 +33,7 @@
 	codec  Codec
 	limits Limits
 	budget *DescriptorBudget
+	memory *admission.ResponseMemory
 
 	addr       string
 	conns      []*Conn    // established connections
@@ -37,9 +46,9 @@
 	isWaitingForDescriptor bool // whether the core is in DescriptorBudget.waiters; guarded by the budget's lock
 }
 
-// NewCore returns a core for the server at addr.
-func NewCore(addr string, codec Codec, limits Limits, budget *DescriptorBudget) *Core {
-	return &Core{addr: addr, codec: codec, limits: limits, budget: budget}
+// NewCore returns a core for the server at addr. All cores share the budgets.
+func NewCore(addr string, codec Codec, limits Limits, budgets Budgets) *Core {
+	return &Core{addr: addr, codec: codec, limits: limits, budget: budgets.Descriptors, memory: budgets.Responses}
 }
 
 // Connections returns the number of connections that are established or being opened.
--- a/internal/upstream/core_property_test.go
+++ b/internal/upstream/core_property_test.go
@@ -6,11 +6,15 @@
 
 	"pgregory.net/rapid"
 
+	"shelfproxy/internal/admission"
 	"shelfproxy/internal/request"
 )
 
-// modelMaxConnections is the maximum number of connections of the core under test.
-const modelMaxConnections = 4
+// Bounds of the core under test.
+const (
+	modelMaxConnections = 4
+	modelMemory         = 4 // bytes of response memory; each value takes one
+)
 
 // coreModel is the shell of the core under test. It lets each effect end in any possible way and records what the invariants are
 // checked against.
@@ -18,6 +22,7 @@
 	core             *Core
 	limits           Limits
 	budget           *DescriptorBudget
+	memory           *admission.ResponseMemory
 	totalDescriptors int
 	now              time.Time
 	isDraining       bool
@@ -28,6 +33,8 @@
 	dialing       []*Conn            // connections that are being opened
 	conns         []*Conn            // connections that were established; they may have been closed since
 	writesOngoing map[*Conn]*Attempt // attempts that are being written: NextToWrite returned them, WriteCompleted was not called yet
+	notified      []*Conn            // connections whose NotifyMemory was called
+	unread        []int              // memory of the responses that were reported and that the client has not read yet
 }
 
 func newCoreModel(t *rapid.T) *coreModel {
@@ -35,7 +42,8 @@
 	total, _ := budget.Usage()
 	limits := Limits{ConnectTimeout: time.Second, IdleTimeout: 3 * time.Second, MaxStreams: rapid.IntRange(1, 3).Draw(t, "streams"),
 		MaxConnections: modelMaxConnections, MaxQueued: 3, PipelineWithin: time.Duration(rapid.IntRange(0, 1).Draw(t, "pipeline within")) * time.Second}
-	return &coreModel{core: NewCore("s", byteCodec{}, limits, budget), limits: limits, budget: budget, totalDescriptors: total,
+	memory := admission.NewResponseMemory(modelMemory)
+	return &coreModel{core: NewCore("s", byteCodec{}, limits, Budgets{budget, memory}), limits: limits, budget: budget, memory: memory, totalDescriptors: total,
 		now: time.Unix(1000, 0), ends: map[*Attempt]int{}, fullyWritten: map[*Attempt]bool{}, writesOngoing: map[*Conn]*Attempt{}}
 }
 
@@ -46,6 +54,7 @@
 // recordEnd counts the end of an attempt and checks its outcome.
 func (m *coreModel) recordEnd(t *rapid.T, attempt *Attempt, outcome Outcome) {
 	m.ends[attempt]++
+	m.memory.Release(attempt.Request.TakeReservedMemory())
 	switch outcome {
 	case ConnectFailed, WriteInterrupted, PoolExhausted, ServerDraining, NotSent:
 		if m.fullyWritten[attempt] {
@@ -58,12 +67,14 @@
 	for _, effect := range effects {
 		switch effect.Kind {
 		case Dial:
+			effect.Conn.NotifyMemory = func() { m.notified = append(m.notified, effect.Conn) }
 			m.dialing = append(m.dialing, effect.Conn)
 		case ReportOutcome:
 			if effect.Attempt.abandoned {
 				t.Fatal("got a report of an abandoned attempt, want none")
 			}
 			m.recordEnd(t, effect.Attempt, effect.Response.Outcome)
+			m.unread = append(m.unread, effect.Response.ReservedMemory)
 		case Evict:
 			m.call(t, func(effects *Effects) { m.core.Evicted(m.now, effect.Conn, effects) })
 		case DescriptorAvailable:
@@ -83,6 +94,11 @@
 	attempt := &Attempt{Request: &request.Request{}, SentAt: m.now, Deadline: m.now.Add(time.Minute),
 		NeedsNewConnection: rapid.IntRange(0, 4).Draw(t, "needs new connection") == 0}
 	m.attempts = append(m.attempts, attempt)
+	if rapid.Bool().Draw(t, "is pipelined") && m.memory.Reserve(1, admission.ExpectedResponse) {
+		attempt.Request.SetReservedMemory(1)
+	} else if rapid.Bool().Draw(t, "is next") {
+		attempt.Request.MarkNext()
+	}
 	var effects Effects
 	if outcome, ok := m.core.Send(m.now, attempt, &effects); !ok {
 		m.recordEnd(t, attempt, outcome)
@@ -146,7 +162,7 @@
 		return
 	}
 	conn := pickFrom(t, m.conns)
-	if conn.closed {
+	if conn.closed || conn.IsWaitingForMemory() {
 		return
 	}
 	if len(conn.pending) > 0 && m.writesOngoing[conn] == conn.pending[0] {
@@ -180,9 +196,27 @@
 		t.Fatal("got an attempt abandoned as not executed, want possibly executed: it was fully written")
 	}
 	m.ends[attempt]++
+	m.memory.Release(attempt.Request.TakeReservedMemory())
 	m.carryOut(t, effects)
 }
 
+// readResponse lets a client read a response, which releases its memory.
+func (m *coreModel) readResponse(*rapid.T) {
+	if len(m.unread) > 0 {
+		m.memory.Release(m.unread[0])
+		m.unread = m.unread[1:]
+	}
+}
+
+// grantMemory tells the core that memory was granted to a connection.
+func (m *coreModel) grantMemory(t *rapid.T) {
+	if len(m.notified) > 0 {
+		conn := m.notified[0]
+		m.notified = m.notified[1:]
+		m.call(t, func(effects *Effects) { m.core.MemoryGranted(m.now, conn, effects) })
+	}
+}
+
 func (m *coreModel) disconnectClient(t *rapid.T) {
 	if len(m.attempts) == 0 {
 		return
@@ -224,6 +258,9 @@
 			t.Fatalf("an attempt ended %d times, want once at most", m.ends[attempt])
 		}
 	}
+	if got := m.memory.Used(); got > modelMemory || got < 0 {
+		t.Fatalf("%d bytes of memory are reserved, want %d at most", got, modelMemory)
+	}
 	if got := m.core.Connections(); got > modelMaxConnections {
 		t.Fatalf("%d connections, want %d at most", got, modelMaxConnections)
 	}
@@ -232,8 +269,8 @@
 	}
 }
 
-// endEverything ends all dials, writes and connections. It then checks that each attempt has ended and that all descriptors are
-// released.
+// endEverything ends all dials, writes and connections, and lets clients read all responses. It then checks that each attempt has
+// ended and that all descriptors and all memory are released.
 func (m *coreModel) endEverything(t *rapid.T) {
 	for len(m.dialing) > 0 || len(m.writesOngoing) > 0 {
 		for len(m.dialing) > 0 {
@@ -261,6 +298,12 @@
 			t.Fatalf("attempt %d of %d ended %d times, want once", i, len(m.attempts), m.ends[attempt])
 		}
 	}
+	for len(m.unread) > 0 {
+		m.readResponse(t)
+	}
+	if used := m.memory.Used(); used != 0 {
+		t.Fatalf("%d bytes of memory are reserved in the end, want none", used)
+	}
 	if used, _ := m.budget.Usage(); used != m.totalDescriptors {
 		t.Fatalf("%d descriptors are in use in the end, want %d", used, m.totalDescriptors)
 	}
@@ -271,8 +314,8 @@
 
 // TestCoreKeepsItsInvariantsInAnyOrderOfCalls calls a core in any order in which a shell could call it, and checks the
 // invariants. Each attempt ends once or is abandoned. No attempt is written to a draining server, or after it was abandoned or
-// cancelled. An attempt whose outcome says that it was not executed was not fully written. Descriptors are released, and the
-// limits hold.
+// cancelled. An attempt whose outcome says that it was not executed was not fully written. Descriptors and memory are released,
+// and the limits hold.
 func TestCoreKeepsItsInvariantsInAnyOrderOfCalls(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		model := newCoreModel(t)
@@ -286,6 +329,8 @@
 			"abandon":           model.abandon,
 			"disconnect client": model.disconnectClient,
 			"update":            func(t *rapid.T) { model.update(t, rapid.IntRange(0, 3).Draw(t, "is draining") == 0) },
+			"read response":     model.readResponse,
+			"grant memory":      model.grantMemory,
 			"pass time":         model.passTime,
 			"":                  model.checkBounds,
 		})
--- a/internal/upstream/decoder_fuzz_test.go
+++ b/internal/upstream/decoder_fuzz_test.go
@@ -11,7 +11,7 @@
 )
 
 // FuzzDecoders checks that a decoder neither panics nor loops forever, whatever a server sends and wherever the bytes are cut.
-// The responses must be those of the same bytes in one piece, and the reserved response memory must be released.
+// The responses must be those of the same bytes in one piece.
 func FuzzDecoders(f *testing.F) {
 	for _, seed := range []string{"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n+PONG\r\n", "*3\r\n$-1\r\n$4\r\nmiss\r\n$9\r\nqueue=2,x\r\n", "-ERR failed util=0.6\r\n-BUSY\r\n",
 		"*3\r\n$99999\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load: queue=1\r\n\r\nabHTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
@@ -20,20 +20,12 @@
 		f.Add([]byte(seed), uint8(1), true)
 	}
 	f.Fuzz(func(t *testing.T, input []byte, piece uint8, isHTTP bool) {
-		const memoryBytes = 1 << 20
-		memory := upstream.NewResponseMemory(memoryBytes, 128<<10)
-		codec := upstream.Codec(resp.Codec{Memory: memory})
+		const maxValue = 128 << 10
+		codec := upstream.Codec(resp.Codec{MaxValue: maxValue})
 		if isHTTP {
-			codec = origin.Codec{Memory: memory}
-		}
-		decode := func(pieceSize int) []string {
-			decoder := codec.NewDecoder()
-			responses := describeResponses(t, decoder, input, pieceSize)
-			if decoder.Release(); memory.Available() != memoryBytes {
-				t.Fatalf("%d bytes of response memory are available in the end, want %d", memory.Available(), memoryBytes)
-			}
-			return responses
+			codec = origin.Codec{MaxValue: maxValue}
 		}
+		decode := func(pieceSize int) []string { return describeResponses(t, codec.NewDecoder(), input, pieceSize) }
 		pieceSize := int(piece) + 1
 		inOnePiece, inPieces := decode(len(input)+1), decode(pieceSize)
 		if !slices.Equal(inPieces, inOnePiece) {
--- a/internal/upstream/descriptor_budget_test.go
+++ b/internal/upstream/descriptor_budget_test.go
@@ -25,7 +25,7 @@
 	p := &sharedPools{t: t, now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 1)), budget: NewDescriptorBudget(descriptors),
 		open: map[*Conn]bool{}}
 	for range pools {
-		p.cores = append(p.cores, NewCore("s", byteCodec{}, testLimits(1, 4), p.budget))
+		p.cores = append(p.cores, NewCore("s", byteCodec{}, testLimits(1, 4), Budgets{Descriptors: p.budget}))
 	}
 	return p
 }
--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -21,7 +21,8 @@
 func (d *byteDecoder) ReadBuffer() []byte { return d.input[:] }
 func (d *byteDecoder) BytesRead(n int)    { d.buffered = append(d.buffered, d.input[:n]...) }
 func (d *byteDecoder) Buffered() int      { return len(d.buffered) }
-func (d *byteDecoder) Release()           {}
+func (d *byteDecoder) NeededMemory() int  { return 0 }
+func (d *byteDecoder) DiscardValue() bool { return false }
 func (d *byteDecoder) NextResponse(bool) (Response, bool, error) {
 	if len(d.buffered) == 0 {
 		return Response{}, false, nil
@@ -44,7 +45,7 @@
 
 // newTestCore returns a core with a descriptor budget of 4 for a server that speaks byteCodec.
 func newTestCore(limits Limits) *Core {
-	return NewCore("s", byteCodec{}, limits, NewDescriptorBudget(4))
+	return NewCore("s", byteCodec{}, limits, Budgets{Descriptors: NewDescriptorBudget(4)})
 }
 
 // newAttempt returns an attempt for a new request.
--- a/internal/upstream/origin/codec.go
+++ b/internal/upstream/origin/codec.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"net/http"
 	"net/url"
@@ -15,11 +16,10 @@
 // healthCheckPath is the URL path that a health check requests.
 const healthCheckPath = "/alive"
 
-// Codec encodes requests to the origin and decodes its responses. A connection carries one request at a time. Memory bounds the
-// memory of long responses.
+// Codec encodes requests to the origin and decodes its responses. A connection carries one request at a time.
 type Codec struct {
-	Host   string // value of the Host header
-	Memory *upstream.ResponseMemory
+	Host     string // value of the Host header
+	MaxValue int    // largest value that is accepted, in bytes; 0 stands for upstream.DefaultMaxValue
 }
 
 // AppendRequest appends the HTTP request of an attempt, with the remaining time in milliseconds as the parameter d. The client's
@@ -44,4 +44,6 @@
 }
 
 // NewDecoder returns a decoder for the responses on one connection.
-func (c Codec) NewDecoder() upstream.Decoder { return &decoder{memory: c.Memory} }
+func (c Codec) NewDecoder() upstream.Decoder {
+	return &decoder{maxValue: cmp.Or(c.MaxValue, upstream.DefaultMaxValue)}
+}
--- a/internal/upstream/origin/decoder.go
+++ b/internal/upstream/origin/decoder.go
@@ -11,7 +11,6 @@
 
 const (
 	chunkSize     = 4 << 10  // initial size of a read buffer, in bytes
-	maxUnreserved = 64 << 10 // bytes that a response may need without reserving response memory
 	maxHeaderSize = 64 << 10 // maximum size of all headers ahead of a body, in bytes
 )
 
@@ -24,12 +23,13 @@
 // decoder implements upstream.Decoder. It keeps the bytes of one response. Each time that more bytes have come, net/http parses
 // the response again from its start.
 type decoder struct {
-	memory   *upstream.ResponseMemory
-	reserved int    // number of bytes reserved from memory
+	maxValue int    // largest value that is accepted, in bytes
 	buffer   []byte // buffer[:end] holds the bytes that belong to no response yet
 	end      int
 	needed   int // number of buffered bytes below which it is of no use to parse again
 
+	isBufferTaken bool // buffer belongs to the value of the response that was read last
+
 	input  bytes.Reader  // reads buffer[:end]
 	reader *bufio.Reader // reads input for net/http
 }
@@ -63,11 +63,10 @@
 	response, err := d.readResponse(ended)
 	switch {
 	case errors.Is(err, errIncomplete) && d.end < d.maxResponseSize():
-		return upstream.Response{}, false, d.reserve()
+		return upstream.Response{}, false, nil
 	case err != nil:
 		return upstream.Response{}, false, upstream.ErrMalformedResponse
 	}
-	d.Release()
 	d.discardRead()
 	return response, true, nil
 }
@@ -79,7 +78,7 @@
 
 // maxResponseSize returns the maximum size of one response in bytes, headers included. A body may have twice the size of the
 // largest value, as a chunked body takes more bytes than its value.
-func (d *decoder) maxResponseSize() int { return maxHeaderSize + 2*d.memory.MaxResponse() }
+func (d *decoder) maxResponseSize() int { return maxHeaderSize + 2*d.maxValue }
 
 func (d *decoder) resetReader() {
 	d.input.Reset(d.buffer[:d.end])
@@ -93,31 +92,29 @@
 // unread returns the number of buffered bytes that net/http has not read.
 func (d *decoder) unread() int { return d.input.Len() + d.reader.Buffered() }
 
-// reserve reserves response memory for the bytes of an incomplete response that its reservation does not cover yet. It does so
-// only if these are more than maxUnreserved.
-func (d *decoder) reserve() error {
-	if missing := max(d.needed, d.end) - d.reserved; missing > maxUnreserved {
-		if !d.memory.Reserve(missing) {
-			return upstream.ErrResponseTooLarge
-		}
-		d.reserved += missing
+// NeededMemory implements upstream.Decoder. A response whose length is not known takes twice its bytes, as the buffer grows by
+// doubling; the usual largest value is assumed at first.
+func (d *decoder) NeededMemory() int {
+	switch {
+	case d.needed > chunkSize:
+		return d.needed
+	case d.end > chunkSize:
+		return 2 * max(d.end, upstream.DefaultMaxValue)
 	}
-	return nil
+	return 0
 }
 
+// DiscardValue implements upstream.Decoder. It always returns false: the connection carries no other attempt and can be closed.
+func (d *decoder) DiscardValue() bool { return false }
+
 // discardRead removes the response that was read from the buffer, and keeps the bytes after it.
 func (d *decoder) discardRead() {
-	rest := d.unread()
-	copy(d.buffer, d.buffer[d.end-rest:d.end])
-	if d.end = rest; rest == 0 && len(d.buffer) > chunkSize {
-		d.buffer = nil // the memory of a long response must not stay with its connection
+	rest := d.buffer[d.end-d.unread() : d.end]
+	if d.isBufferTaken || len(rest) == 0 && len(d.buffer) > chunkSize { // the memory of a long response must not stay with its connection
+		d.buffer = make([]byte, max(chunkSize, len(rest)))
 	}
-}
-
-// Release implements upstream.Decoder.
-func (d *decoder) Release() {
-	d.memory.Release(d.reserved)
-	d.reserved, d.needed = 0, 0
+	d.end = copy(d.buffer, rest)
+	d.isBufferTaken = false
 }
 
 // responseOf converts an HTTP response to an upstream.Response.
--- a/internal/upstream/origin/golden_test.go
+++ b/internal/upstream/origin/golden_test.go
@@ -42,7 +42,7 @@
 		"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nX-Not-Run: 1\r\n\r\n",
 		"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", "SSH-2.0", "HTTP/1.1 101 Switch\r\n\r\n"} {
 		for _, ended := range []bool{false, true} {
-			decoder := Codec{Memory: upstream.NewResponseMemory(1<<20, 64<<10)}.NewDecoder()
+			decoder := Codec{}.NewDecoder()
 			decoder.BytesRead(copy(decoder.ReadBuffer(), text))
 			response, isComplete, err := decoder.NextResponse(ended)
 			lines.Text(fmt.Sprintf("%q, connection ended %v", text, ended), fmt.Sprintf("whole %v, %s, value %q, load %q, close %v, error %v",
--- a/internal/upstream/origin/read.go
+++ b/internal/upstream/origin/read.go
@@ -66,9 +66,10 @@
 	return httpResponse, incompleteAtEOF(err)
 }
 
-// readBody reads the body into a new buffer, as the value outlives the decoder's buffer.
+// readBody returns the body. The value outlives the decoder's buffer, so a short one is copied, and a long one takes the buffer
+// over.
 func (d *decoder) readBody(httpResponse *http.Response, ended bool) ([]byte, error) {
-	maxBody := d.memory.MaxResponse()
+	maxBody := d.maxValue
 	if httpResponse.ContentLength > int64(maxBody) {
 		return nil, upstream.ErrMalformedResponse
 	}
@@ -92,6 +93,12 @@
 		d.needed = d.end + length - available
 		return nil, errIncomplete
 	}
+	if length > chunkSize { // the value takes the buffer over: a copy would need its memory twice
+		d.isBufferTaken = true
+		start := d.end - d.unread()
+		_, err := io.Copy(io.Discard, reader)
+		return d.buffer[start : start+length : start+length], incompleteAtEOF(err)
+	}
 	body := make([]byte, length)
 	_, err := io.ReadFull(reader, body)
 	return body, incompleteAtEOF(err)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,10 +29,9 @@
 // NewPool returns a pool for the server at addr. reportOutcome is called from goroutines of the pool, once for each attempt that
 // Send accepted and that is neither abandoned nor withdrawn nor returned by Update. opened is called for each established
 // connection.
-func NewPool(addr string, codec Codec, limits Limits, budget *DescriptorBudget, reportOutcome func(*Attempt, Response),
-	opened func()) *Pool {
+func NewPool(addr string, codec Codec, limits Limits, budgets Budgets, reportOutcome func(*Attempt, Response), opened func()) *Pool {
 	p := &Pool{codec: codec, connectTimeout: limits.ConnectTimeout, reportOutcome: reportOutcome, opened: opened,
-		core: NewCore(addr, codec, limits, budget)}
+		core: NewCore(addr, codec, limits, budgets)}
 	p.core.Owner = p
 	return p
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -94,7 +94,7 @@
 			outcomes := make(chan upstream.Outcome, 8)
 			limits := upstream.Limits{ConnectTimeout: testTimeout, IdleTimeout: time.Minute, MaxStreams: 32, MaxConnections: 8,
 				MaxQueued: 8, PipelineWithin: test.pipelineWithin}
-			pool := upstream.NewPool(server.addr, resp.Codec{}, limits, upstream.NewDescriptorBudget(8),
+			pool := upstream.NewPool(server.addr, resp.Codec{}, limits, upstream.Budgets{Descriptors: upstream.NewDescriptorBudget(8)},
 				func(_ *upstream.Attempt, response upstream.Response) { outcomes <- response.Outcome }, func() {})
 			t.Cleanup(func() { pool.Update(server.addr, true) })
 			send := func(key string) {
--- a/internal/upstream/resp/codec.go
+++ b/internal/upstream/resp/codec.go
@@ -2,6 +2,7 @@
 package resp
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -9,8 +10,10 @@
 	"shelfproxy/internal/upstream"
 )
 
-// Codec encodes commands to cache servers and decodes their responses. Memory bounds the memory of long responses.
-type Codec struct{ Memory *upstream.ResponseMemory }
+// Codec encodes commands to cache servers and decodes their responses.
+type Codec struct {
+	MaxValue int // largest value that is accepted, in bytes; 0 stands for upstream.DefaultMaxValue
+}
 
 // AppendRequest appends the command of an attempt. It is the client's command with the remaining time, in milliseconds, as the
 // parameter d. A health check is a PING.
@@ -36,4 +39,6 @@
 }
 
 // NewDecoder returns a decoder for the responses on one connection.
-func (c Codec) NewDecoder() upstream.Decoder { return &decoder{memory: c.Memory} }
+func (c Codec) NewDecoder() upstream.Decoder {
+	return &decoder{maxValue: cmp.Or(c.MaxValue, upstream.DefaultMaxValue)}
+}
--- a/internal/upstream/resp/decoder.go
+++ b/internal/upstream/resp/decoder.go
@@ -12,18 +12,23 @@
 
 // decoder implements upstream.Decoder. buffer[start:end] holds the bytes that belong to no response yet.
 type decoder struct {
-	memory     *upstream.ResponseMemory
+	maxValue   int // largest value that is accepted, in bytes
 	buffer     []byte
 	start, end int
 	needed     int // minimum size in bytes of the response that begins at buffer[start]; 0 if not known
-	reserved   int // number of bytes reserved from memory
+	longBuffer int // size in bytes of the buffer for that response, if it is long
+	discarding int // bytes of a value that have not arrived yet and are discarded as they do
 }
 
 // Buffered implements upstream.Decoder.
 func (d *decoder) Buffered() int { return d.end - d.start }
 
 // BytesRead implements upstream.Decoder.
-func (d *decoder) BytesRead(n int) { d.end += n }
+func (d *decoder) BytesRead(n int) {
+	discarded := min(n, d.discarding)
+	d.discarding -= discarded
+	d.end += copy(d.buffer[d.end:], d.buffer[d.end+discarded:d.end+n])
+}
 
 // ReadBuffer returns the unused rest of the chunk. A response that does not fit there moves to a new chunk. If the response is
 // known to be long, the new chunk is as large as the response and what follows it.
@@ -32,7 +37,7 @@
 		partial := d.buffer[d.start:d.end]
 		size := max(chunkSize, 2*len(partial))
 		if d.isLong() {
-			size = d.needed + maxHeaderLength // space for what follows the value, such as a load report
+			size = d.longBuffer
 		}
 		d.replaceBuffer(size, partial)
 	}
@@ -54,42 +59,54 @@
 	if d.Buffered() < d.needed {
 		return upstream.Response{}, false, nil
 	}
-	parsed, size, err := parseReply(d.buffer[d.start:d.end], false, d.memory.MaxResponse())
+	parsed, size, err := parseReply(d.buffer[d.start:d.end], false, d.maxValue)
 	if err != nil {
 		return upstream.Response{}, false, err
 	}
 	if size.consumed == 0 {
-		return upstream.Response{}, false, d.expect(size.needed)
+		d.expect(size.needed)
+		return upstream.Response{}, false, nil
 	}
 	d.start += size.consumed
 	if d.isLong() { // the buffer now belongs to the long value
 		d.replaceBuffer(chunkSize, d.buffer[d.start:d.end])
 	}
-	d.Release()
+	d.needed, d.longBuffer = 0, 0
 	response, err := responseOf(parsed)
 	return response, err == nil, err
 }
 
-// expect records that the response that begins at buffer[start] takes at least needed bytes, and reserves memory for a long
-// response. If needed is 0, the size is not known.
-func (d *decoder) expect(needed int) error {
-	if needed == 0 {
-		return nil
+// expect records that the response that begins at buffer[start] takes at least needed bytes. If needed is 0, the size is not
+// known. The buffer for a long response has space for what follows the value, such as a load report.
+func (d *decoder) expect(needed int) {
+	d.needed = max(d.needed, needed)
+	if d.needed > d.longBuffer {
+		d.longBuffer = d.needed + maxHeaderLength
 	}
-	d.needed = needed
-	if d.isLong() && d.reserved == 0 {
-		if !d.memory.Reserve(needed) {
-			return upstream.ErrResponseTooLarge
-		}
-		d.reserved = needed
+}
+
+// NeededMemory implements upstream.Decoder.
+func (d *decoder) NeededMemory() int {
+	if d.isLong() {
+		return d.longBuffer
 	}
-	return nil
+	return 0
 }
 
-// Release implements upstream.Decoder.
-func (d *decoder) Release() {
-	d.memory.Release(d.reserved)
-	d.reserved, d.needed = 0, 0
+// emptyValue is the beginning of a response whose value is empty.
+var emptyValue = []byte("*3\r\n$0\r\n")
+
+// DiscardValue implements upstream.Decoder. What has arrived of the response is replaced by the beginning of one with an empty
+// value. It returns false if the response is not one with a value, or the value is complete.
+func (d *decoder) DiscardValue() bool {
+	headerSize, valueSize := valueExtent(d.buffer[d.start:d.end])
+	arrived := d.Buffered() - headerSize
+	if headerSize == 0 || arrived >= valueSize {
+		return false
+	}
+	d.discarding, d.needed, d.longBuffer = valueSize-arrived, 0, 0
+	d.replaceBuffer(chunkSize, emptyValue)
+	return true
 }
 
 // busyPrefix is the start of the error with which a server rejects a command.
--- a/internal/upstream/resp/golden_test.go
+++ b/internal/upstream/resp/golden_test.go
@@ -35,7 +35,7 @@
 	var lines golden.Lines
 	for _, text := range []string{"+PONG\r\n", "-BUSY qps=1,eps=2\r\n", "-BUSY\r\n", "-ERR failed q=3\r\n", "-bad\r\n", "$2\r\nab\r\n",
 		"*3\r\n$5\r\nvalue\r\n:1\r\n$7\r\nqueue=4\r\n", "*3\r\n$-1\r\n:1\r\n$0\r\n\r\n", "*3\r\n$5\r\nval", "*4\r\n", "junk", "$-2\r\n"} {
-		decoder := Codec{Memory: upstream.NewResponseMemory(1<<20, 64<<10)}.NewDecoder()
+		decoder := Codec{}.NewDecoder()
 		decoder.BytesRead(copy(decoder.ReadBuffer(), text))
 		response, isComplete, err := decoder.NextResponse(false)
 		lines.Text(fmt.Sprintf("%q", text), fmt.Sprintf("whole %v, %s, value %q, load %q, error %v",
--- a/internal/upstream/resp/parser.go
+++ b/internal/upstream/resp/parser.go
@@ -151,3 +151,21 @@
 	}
 	return value, extent{consumed: consumed}, nil
 }
+
+// valueExtent returns the size of the header lines ahead of the value in a response that begins at b, and the size of the value.
+// They are 0 if b does not have both headers.
+func valueExtent(b []byte) (headerSize, valueSize int) {
+	first, arrayHeaderSize, err := parseHeader(b)
+	if err != nil || arrayHeaderSize == 0 || first.kind != array {
+		return 0, 0
+	}
+	value, valueHeaderSize, err := parseHeader(b[arrayHeaderSize:])
+	if err != nil || valueHeaderSize == 0 || value.kind != bulkString {
+		return 0, 0
+	}
+	valueSize, err = strconv.Atoi(string(value.data))
+	if err != nil || valueSize < 0 {
+		return 0, 0
+	}
+	return arrayHeaderSize + valueHeaderSize, valueSize
+}
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -23,26 +23,34 @@
 	// notify wakes the writer. It holds an element while there may be something to write, or the connection has been closed. It
 	// is never closed: the writer ends once the core says that the connection is closed.
 	notify chan struct{}
+	// notifyMemory wakes the reader while it waits for memory. It holds an element once the memory may be granted, or the
+	// connection has been closed. It is never closed.
+	notifyMemory chan struct{}
 }
 
 func newSocket(pool *Pool, conn net.Conn) *socket {
 	raw, _ := conn.(syscall.Conn).SyscallConn() // a TCP connection always has a raw connection
-	return &socket{pool: pool, conn: conn, raw: raw, notify: make(chan struct{}, 1)}
+	return &socket{pool: pool, conn: conn, raw: raw, notify: make(chan struct{}, 1), notifyMemory: make(chan struct{}, 1)}
 }
 
 func socketOf(conn *Conn) *socket { return conn.Socket.(*socket) }
 
-func (s *socket) notifyWriter() {
+func (s *socket) notifyWriter() { notify(s.notify) }
+
+// notify puts an element into a channel that holds at most one, unless it holds one already.
+func notify(channel chan struct{}) {
 	select {
-	case s.notify <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
 
-// close closes the network connection. The reader ends by the error of its read, and the writer by a notification.
+// close closes the network connection. The reader ends by the error of its read or by a notification, the writer by a
+// notification.
 func (s *socket) close() {
 	_ = s.conn.Close() // the connection is of no further use, whatever the error
 	s.notifyWriter()
+	notify(s.notifyMemory)
 }
 
 // write writes the bytes of one attempt. isUsable says whether the connection may be used further; it is false after an error.
@@ -66,7 +74,8 @@
 	})
 	isEstablished := err == nil
 	if isEstablished {
-		conn.Socket = newSocket(p, netConn)
+		socket := newSocket(p, netConn)
+		conn.Socket, conn.NotifyMemory = socket, func() { notify(socket.notifyMemory) }
 		p.opened()
 	}
 	var effects Effects
@@ -149,12 +158,35 @@
 		if err != nil {
 			p.core.ConnectionEnded(now, conn, errors.Is(err, io.EOF), &effects)
 		}
-		if isClosed = conn.closed; !isClosed {
+		isWaiting := conn.IsWaitingForMemory()
+		if isClosed = conn.closed; !isClosed && !isWaiting {
 			buffer = conn.Decoder.ReadBuffer()
 		}
 		p.setTimer()
 		p.mu.Unlock()
 		p.carryOut(effects, false)
 		clear(effects)
+		if isWaiting && !isClosed {
+			buffer, isClosed = p.awaitMemory(conn, socket)
+		}
+	}
+}
+
+// awaitMemory waits until the memory that a connection waits for is granted, or the connection is closed. It returns the buffer
+// for the next bytes. Nothing is read meanwhile, so what the server sends stays in the kernel, and the server has to wait.
+func (p *Pool) awaitMemory(conn *Conn, socket *socket) (buffer []byte, isClosed bool) {
+	for isWaiting := true; isWaiting && !isClosed; {
+		<-socket.notifyMemory
+		var effects Effects
+		p.mu.Lock()
+		p.core.MemoryGranted(time.Now(), conn, &effects)
+		isWaiting, isClosed = conn.IsWaitingForMemory(), conn.closed
+		if !isWaiting && !isClosed {
+			buffer = conn.Decoder.ReadBuffer()
+		}
+		p.setTimer()
+		p.mu.Unlock()
+		p.carryOut(effects, false)
 	}
+	return buffer, isClosed
 }
--- a/internal/upstream/transfer.go
+++ b/internal/upstream/transfer.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"errors"
 	"slices"
 	"time"
 )
@@ -74,40 +73,38 @@
 	c.close(now, conn, ConnectionLost, effects)
 }
 
-// decode takes the complete responses from the decoder and delivers them.
+// decode takes the complete responses from the decoder and delivers them, until a response has to wait for memory.
 func (c *Core) decode(now time.Time, conn *Conn, ended bool, effects *Effects) {
-	for !conn.closed && conn.Decoder.Buffered() > 0 {
+	for !conn.closed && !conn.IsWaitingForMemory() && (conn.hasReceived || conn.Decoder.Buffered() > 0) {
 		if !conn.mayReceive() {
 			c.close(now, conn, CorruptResponse, effects) // the bytes are no response to any attempt
 			return
 		}
-		response, isComplete, err := conn.Decoder.NextResponse(ended)
-		if err != nil {
-			c.close(now, conn, decodeErrorOutcome(err), effects)
-			return
+		if !conn.hasReceived {
+			var err error
+			if conn.received, conn.hasReceived, err = conn.Decoder.NextResponse(ended); err != nil {
+				c.close(now, conn, CorruptResponse, effects)
+				return
+			}
 		}
-		if !isComplete {
+		if !c.reserveMemory(now, conn, effects) || !conn.hasReceived {
 			return
 		}
-		c.deliver(now, conn, response, effects)
-	}
-}
-
-func decodeErrorOutcome(err error) Outcome {
-	if errors.Is(err, ErrResponseTooLarge) {
-		return ResponseTooLarge
+		c.deliver(now, conn, effects)
 	}
-	return CorruptResponse
 }
 
-// deliver gives a response to the first pending attempt of its connection.
-func (c *Core) deliver(now time.Time, conn *Conn, response Response, effects *Effects) {
+// deliver gives the received response to the first pending attempt of its connection.
+func (c *Core) deliver(now time.Time, conn *Conn, effects *Effects) {
+	response := c.takeResponse(conn)
 	if !conn.pending[0].isHealthCheck() && response.Outcome == Served && response.Value == nil {
 		c.close(now, conn, CorruptResponse, effects) // the response to a health check has no value and can't answer a request
 		return
 	}
 	attempt := conn.popPending()
-	if !attempt.abandoned {
+	if attempt.abandoned {
+		c.memory.Release(response.ReservedMemory)
+	} else {
 		effects.report(attempt, response)
 	}
 	switch {
--- a/tests/harness/fleet.go
+++ b/tests/harness/fleet.go
@@ -149,7 +149,7 @@
 func (f *Fleet) start(node int) {
 	m := f.members[node]
 	m.release, m.log = f.release, &Log{}
-	cmd := programWithConfig(m.configPath(), "--file", m.operatorPath())
+	cmd := programWithConfig(NodeProgram, m.configPath(), "--file", m.operatorPath())
 	cmd.Stderr = m.log
 	m.process = StartProcess(f.t, cmd)
 }
--- a/tests/harness/node.go
+++ b/tests/harness/node.go
@@ -20,6 +20,7 @@
 	Config    Config
 	Edits     []ConfigEdit // applied to the configuration when it is written
 	Operator  string       // text of the operator file; empty for no file
+	Program   string       // path of the node's program
 	Discovery *Discovery
 	Origin    *Origin
 	Log       *Log
@@ -33,7 +34,7 @@
 // it.
 func NewNode(t testing.TB, servers ...*CacheServer) *Node {
 	t.Helper()
-	n := &Node{Config: defaultConfig(), Discovery: NewDiscovery(t), Origin: NewOrigin(t), Log: &Log{}, t: t,
+	n := &Node{Config: defaultConfig(), Program: NodeProgram, Discovery: NewDiscovery(t), Origin: NewOrigin(t), Log: &Log{}, t: t,
 		configPath: filepath.Join(t.TempDir(), "config.json")}
 	instances := []Instance{NewInstance("o", n.Origin.Address, KindOrigin, Up)}
 	for i, server := range servers {
@@ -77,12 +78,12 @@
 func (n *Node) Command(args ...string) *exec.Cmd {
 	n.t.Helper()
 	n.WriteConfig()
-	return programWithConfig(n.configPath, args...)
+	return programWithConfig(n.Program, n.configPath, args...)
 }
 
-// programWithConfig returns a command that runs the node's program. No context ends the program; the caller has to.
-func programWithConfig(configPath string, args ...string) *exec.Cmd {
-	cmd := exec.CommandContext(context.Background(), NodeProgram, args...)
+// programWithConfig returns a command that runs a node's program. No context ends the program; the caller has to.
+func programWithConfig(program, configPath string, args ...string) *exec.Cmd {
+	cmd := exec.CommandContext(context.Background(), program, args...)
 	cmd.Env = append(os.Environ(), "LB_CONFIG="+configPath)
 	return cmd
 }
@@ -254,21 +255,31 @@
 	return megabytes
 }
 
-// CheckPeakMemory fails the test if the node's peak resident memory was above the given number of MB. It checks nothing with the
-// race detector, or if /proc does not have the figure.
+// CheckPeakMemory fails the test if the node's peak resident memory was above the given number of MB. It checks nothing if the
+// node's program has the race detector, or if /proc does not have the figure.
 func (n *Node) CheckPeakMemory(megabytes int) {
+	n.t.Helper()
+	kilobytes := n.PeakMemory()
+	if RaceEnabled && n.Program == NodeProgram {
+		return
+	}
+	if kilobytes > megabytes<<10 {
+		n.t.Errorf("the node's peak memory was %d MB, want at most %d MB", kilobytes>>10, megabytes)
+	}
+}
+
+// PeakMemory returns the node's peak resident memory in kB; 0 if /proc does not have the figure.
+func (n *Node) PeakMemory() (kilobytes int) {
 	n.t.Helper()
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.Process.PID()))
 	_, rest, found := strings.Cut(string(status), "VmHWM:")
 	fields := strings.Fields(rest)
-	if err != nil || !found || len(fields) == 0 || RaceEnabled {
-		return
+	if err != nil || !found || len(fields) == 0 {
+		return 0
 	}
-	kilobytes, err := strconv.Atoi(fields[0])
+	kilobytes, err = strconv.Atoi(fields[0])
 	if err != nil {
 		n.t.Fatalf("parse the node's peak memory: %v", err)
 	}
-	if kilobytes > megabytes<<10 {
-		n.t.Errorf("the node's peak memory was %d MB, want at most %d MB", kilobytes>>10, megabytes)
-	}
+	return kilobytes
 }
--- /dev/null
+++ b/tests/memory_test.go
@@ -0,0 +1,106 @@
+package tests
+
+import (
+	"bufio"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"shelfproxy/internal/testbed/respcmd"
+	"shelfproxy/tests/harness"
+)
+
+// patientDeadline is the deadline of classes in tests of memory: so long that no request of a crowd runs out of time.
+const patientDeadline = 15 * time.Second
+
+// patientExtras holds the extra parameters of a read whose client waits for nearly patientDeadline.
+const patientExtras = "c=read,d=14900"
+
+// memoryNode returns a node with the given limit of memory, in front of three cache servers that return a long value for bigKey.
+// It runs without the race detector, so that its memory can be compared with the limit.
+func memoryNode(t *testing.T, memoryMB, descriptors int) *harness.Node {
+	t.Helper()
+	node := harness.NewNode(t, bigValueServer(t), bigValueServer(t), bigValueServer(t))
+	node.Program = harness.UninstrumentedNodeProgram(t)
+	node.Config.Limits = harness.Limits{Cores: 1, MemoryMB: memoryMB, Sockets: descriptors}
+	node.SetDeadlines(patientDeadline)
+	return node.Start()
+}
+
+// answerTally counts the answers that clients got.
+type answerTally struct {
+	served, rejected, failed, missing atomic.Int64
+}
+
+// readAnswers reads an answer to each of count commands. Values of bigKey and of ordinary keys count as served.
+func (a *answerTally) readAnswers(reader *bufio.Reader, count int) {
+	for read := range count {
+		answer, err := harness.ReadAnswer(reader)
+		switch {
+		case err != nil:
+			a.missing.Add(int64(count - read))
+			return
+		case strings.HasPrefix(answer, "-BUSY"):
+			a.rejected.Add(1)
+		case strings.HasPrefix(answer, "-"):
+			a.failed.Add(1)
+		default:
+			a.served.Add(1)
+		}
+	}
+}
+
+// sendAtOnce sends count reads of a key at once on a new connection, and reads the answers.
+func (a *answerTally) sendAtOnce(node *harness.Node, key, idPrefix string, count int) {
+	conn := node.TryDialWithin(harness.Timeout)
+	if conn == nil {
+		a.missing.Add(int64(count))
+		return
+	}
+	defer func() { _ = conn.Close() }() // all answers have been read, or the connection has failed
+	_ = conn.SetDeadline(time.Now().Add(harness.Timeout))
+	var commands []byte
+	for i := range count {
+		commands = respcmd.Append(commands, "CACHE.GET", key, fmt.Sprint(idPrefix, i), patientExtras)
+	}
+	go func() { _, _ = conn.Write(commands) }() // an error shows as a missing answer
+	a.readAnswers(bufio.NewReader(conn), count)
+}
+
+// String returns the counts.
+func (a *answerTally) String() string {
+	return fmt.Sprintf("%d served, %d rejected, %d failed, %d missing", a.served.Load(), a.rejected.Load(), a.failed.Load(), a.missing.Load())
+}
+
+// checkMemoryIsReleased fails the test unless the node gives back all memory that it has reserved for responses.
+func checkMemoryIsReleased(node *harness.Node) {
+	observer := node.NewObserver()
+	defer observer.Close()
+	node.WaitFor("all response memory is released", func() bool { return observer.Counter("memory_responses_reserved_bytes") == 0 })
+}
+
+// Guards against a node that is killed for lack of memory because clients send hundreds of reads of long values at once and read
+// all answers: values are bounded until they are written to their clients, not only until they have arrived from the server.
+func TestPipelinedReadsOfLongValuesStayWithinMemory(t *testing.T) {
+	const memoryMB, clients, commandsAtOnce = 64, 120, 200
+	node := memoryNode(t, memoryMB, 384)
+	var pipelined answerTally
+	var clientsRunning sync.WaitGroup
+	for client := range clients {
+		clientsRunning.Go(func() { pipelined.sendAtOnce(node, bigKey, fmt.Sprintf("p%d-", client), commandsAtOnce) })
+	}
+	sent, served := sendOrdinaryRequests(node)
+	clientsRunning.Wait()
+	t.Logf("peak memory %d kB; %d of %d ordinary requests served; pipelined reads: %s", node.PeakMemory(), served, sent, &pipelined)
+	if served < sent*9/10 {
+		t.Errorf("%d of %d ordinary requests were served, want nine tenths", served, sent)
+	}
+	if pipelined.failed.Load()+pipelined.missing.Load() > 0 || pipelined.served.Load() < clients*commandsAtOnce*9/10 {
+		t.Errorf("pipelined reads: %s; want nine tenths of %d served, none failed and none missing", &pipelined, clients*commandsAtOnce)
+	}
+	node.CheckPeakMemory(memoryMB)
+	checkMemoryIsReleased(node)
+}
