Take a rise of memory up to the collector's limit for garbage, not for need

Cause: admission.MemoryPressure extrapolates any rise of the use by half a second. The collector lets garbage pile up to its limit, six tenths, so a crowd that finds an idle node makes the use rise from 7 to 38 MB in a moment and then stay there: the extrapolation passed 0.72 of the limit, where shedding begins, though nothing more was needed.

Change: the rise counts from the collector's limit on. Above it live memory must have grown, and the look ahead is as before.

TestMemoryPressureFollowsTheUse has three rows more; without the change "rising fast up to the collector's limit" gets the level 0.17 where 0 is wanted.

--- a/internal/admission/memory_pressure.go
+++ b/internal/admission/memory_pressure.go
@@ -7,6 +7,9 @@
 // collector frees memory late.
 type MemoryPressure struct {
 	Limit int64 // bytes of memory past which the node is killed; 0 means no limit
+	// CollectorLimit is the use, in bytes, below which the garbage collector keeps the node. Up to there a rise of the use
+	// shows only that garbage has not been collected yet, so it is not extrapolated.
+	CollectorLimit int64
 
 	isStarted bool
 	lastUsed  int64 // bytes in use at the last call of Observe
@@ -35,8 +38,8 @@
 		return 0
 	}
 	expected, elapsed := float64(used), now-m.updatedAt
-	if m.isStarted && elapsed > 0 && used > m.lastUsed {
-		rise := float64(used-m.lastUsed) * float64(memoryLookAhead) / float64(elapsed)
+	if base := max(m.lastUsed, m.CollectorLimit); m.isStarted && elapsed > 0 && used > base {
+		rise := float64(used-base) * float64(memoryLookAhead) / float64(elapsed)
 		expected += min(rise, maxMemoryLookAhead*float64(m.Limit))
 	}
 	level := min(1, max(0, (expected/float64(m.Limit)-memoryLow)/(memoryHigh-memoryLow)))
--- a/internal/admission/memory_pressure_test.go
+++ b/internal/admission/memory_pressure_test.go
@@ -20,9 +20,13 @@
 		"rising slowly":   {[]int64{60, 61, 62}, 0, 0},
 		"falls slowly":    {[]int64{92, 92, 60, 60}, 0.7, 0.8},
 		"falls to zero":   {[]int64{92, 60, 60, 60, 60, 60, 60, 60, 60, 60}, 0, 0},
+		// Up to the collector's limit the rise may be garbage: it says nothing of what is needed.
+		"rising fast up to the collector's limit":    {[]int64{10, 35, 60}, 0, 0},
+		"rising fast across the collector's limit":   {[]int64{10, 50, 75}, 0.99, 1},
+		"rising slowly across the collector's limit": {[]int64{30, 59, 61}, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			pressure := MemoryPressure{Limit: 100 * mb}
+			pressure := MemoryPressure{Limit: 100 * mb, CollectorLimit: 60 * mb}
 			got := 0.0
 			for i, used := range test.used {
 				got = pressure.Observe(time.Duration(i)*step, used*mb)
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -69,7 +69,7 @@
 	if d.cfg.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(d.cfg.Cores))))
 	}
-	debug.SetMemoryLimit(int64(megabytes(d.cfg.MemoryMB)) * collectorMemoryTenths / 10)
+	debug.SetMemoryLimit(collectorLimit(d.cfg))
 }
 
 // newCounters returns counters for the configured classes of requests, all kinds of responses and all outcomes of attempts.
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -26,7 +26,7 @@
 
 func newMemoryMonitor(cfg *config.Config, count *counters.Counters) memoryMonitor {
 	return memoryMonitor{
-		pressure:  admission.MemoryPressure{Limit: int64(megabytes(cfg.MemoryMB))},
+		pressure:  admission.MemoryPressure{Limit: int64(megabytes(cfg.MemoryMB)), CollectorLimit: collectorLimit(cfg)},
 		responses: newResponseMemory(cfg),
 		inUse:     count.Register("memory_in_use_bytes"),
 		peak:      count.Register("memory_peak_bytes"),
--- a/internal/daemon/sizing.go
+++ b/internal/daemon/sizing.go
@@ -35,6 +35,11 @@
 // process is killed when it uses all of the node's memory.
 const collectorMemoryTenths = 6
 
+// collectorLimit returns the limit below which the garbage collector keeps the process, in bytes.
+func collectorLimit(cfg *config.Config) int64 {
+	return int64(megabytes(cfg.MemoryMB)) * collectorMemoryTenths / 10
+}
+
 // idleTimeoutTenths is the node's idle timeout for upstream connections, in tenths of the servers' idle timeout.
 const idleTimeoutTenths = 8
 
