Tell the simulated listener when bytes arrived, as the kernel tells the real one

Cause: in the simulation only. The shell of the real listener calls Conn.BytesArrived with the time by which the kernel had the bytes (loops.go, nextReadEvent), so the wait counts against the command's own time.

Change: the simulated connection keeps when its last bytes arrived, which is what the kernel tells, and passes it on.

--- a/internal/testbed/simulation/node_connections.go
+++ b/internal/testbed/simulation/node_connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"shelfproxy/internal/listener"
 )
@@ -13,6 +14,7 @@
 	stream      *stream
 	core        *listener.Conn
 	inbox       []byte
+	arrivedBy   time.Time // when the last bytes of inbox arrived, which is all that a kernel tells
 	isReading   bool
 	hasEnded    bool
 	isWriting   bool
@@ -29,7 +31,7 @@
 	c.core.NotifyMemory = func() { n.schedule(n.lag(), c.resume) }
 	far.data = func(b []byte, _ Time) {
 		if n.incarnation == c.incarnation {
-			c.inbox = append(c.inbox, b...)
+			c.inbox, c.arrivedBy = append(c.inbox, b...), n.now()
 			c.scheduleRead()
 		}
 	}
@@ -64,6 +66,7 @@
 		var effects listener.Effects
 		n := copy(c.core.ReadBuffer(), c.inbox)
 		c.inbox = c.inbox[n:]
+		c.core.BytesArrived(c.arrivedBy)
 		c.node.listener.BytesReceived(c.node.now(), c.core, n, &effects)
 		c.node.execute(effects)
 	}
