--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -8,10 +8,11 @@
 //   - PriorityQueue orders the fetches that wait for the origin;
 //   - ConcurrencyLimiter bounds the requests in flight at the origin (AIMD);
 //   - RetryBudget bounds retries as a fraction of first attempts (token bucket);
-//   - RequestMemory and MemoryPressure keep the node below its memory limit.
+//   - MemoryBudget and MemoryPressure keep the node below its memory limit.
 //
 // The package has no clock, I/O or goroutines: the methods take the current time and an event, and return the decision.
-// The listener, the node and the policy use it; it imports none of them. No type is safe for concurrent use.
+// The listener, the node and the policy use it; it imports none of them. Only MemoryBudget is safe for
+// concurrent use.
 //
 // Times are durations since an arbitrary fixed moment and must not decrease.
 package admission
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -136,8 +136,8 @@
 		Policy:           settings,
 		Seed:             d.cfg.Seed,
 		MaxOpenRequests:  d.cfg.Node.MaxOpenRequests,
-		MaxRequestBytes:  megabytes(d.cfg.MemoryMB) / requestMemoryDivisor,
-		ResponseMemory:   d.memory.responses,
+		RequestMemory:    d.memory.budgets.requests,
+		ResponseMemory:   d.memory.budgets.responses,
 		MaxClientTimeout: d.cfg.Node.MaxDeadline,
 		InitialList:      d.cfg.InitialList,
 		Source:           discoverySource(d.cfg),
@@ -158,8 +158,8 @@
 
 // upstreamFactory returns a function that creates the connection pool to a cache server or to the origin.
 func (d *Daemon) upstreamFactory() func(discovery.Server, bool, func(*upstream.Attempt, upstream.Response)) node.Upstream {
-	cacheServers := upstream.Budgets{Descriptors: d.descriptors.cacheServers, Responses: d.memory.responses}
-	origins := upstream.Budgets{Descriptors: d.descriptors.origin, Responses: d.memory.responses}
+	cacheServers := upstream.Budgets{Descriptors: d.descriptors.cacheServers, Responses: d.memory.budgets.responses}
+	origins := upstream.Budgets{Descriptors: d.descriptors.origin, Responses: d.memory.budgets.responses}
 	toCacheServer, toOrigin := cacheServerLimits(d.cfg), originLimits(d.cfg)
 	return func(server discovery.Server, isOrigin bool, report func(*upstream.Attempt, upstream.Response)) node.Upstream {
 		if isOrigin {
@@ -189,7 +189,7 @@
 		return err
 	}
 	maxConnections := d.descriptors.split.Limits()[admission.Clients]
-	d.listener = listener.New(socket, d.node, classNames(d.cfg), tenantNames(d.cfg), listenerLimits(d.cfg, maxConnections, d.memory.responses), d.counters,
+	d.listener = listener.New(socket, d.node, classNames(d.cfg), tenantNames(d.cfg), listenerLimits(d.cfg, maxConnections, d.memory.budgets), d.counters,
 		logs.Component(d.rootLog, "listener"))
 	return nil
 }
--- a/internal/daemon/sizing.go
+++ b/internal/daemon/sizing.go
@@ -102,9 +102,18 @@
 	return limits
 }
 
-// newResponseMemory returns the memory budget for responses.
-func newResponseMemory(cfg *config.Config) *admission.ResponseMemory {
-	return admission.NewResponseMemory(megabytes(cfg.MemoryMB) / responseMemoryDivisor)
+// memoryBudgets are the bounds of what grows with the load.
+type memoryBudgets struct {
+	requests  *admission.MemoryBudget // requests that are not answered yet, from when they arrive
+	responses *admission.MemoryBudget // responses, from when they arrive from servers until they are written to clients
+}
+
+func newMemoryBudgets(cfg *config.Config) memoryBudgets {
+	memory := megabytes(cfg.MemoryMB)
+	return memoryBudgets{
+		requests:  admission.NewMemoryBudget(memory / requestMemoryDivisor),
+		responses: admission.NewMemoryBudget(memory / responseMemoryDivisor),
+	}
 }
 
 // maxResponse returns the length of the longest response that is accepted from a server, in bytes.
@@ -114,7 +123,7 @@
 
 // listenerLimits returns the limits of the connections of clients. maxConnections is the maximum number of connections at the
 // start.
-func listenerLimits(cfg *config.Config, maxConnections int, responses *admission.ResponseMemory) listener.Limits {
+func listenerLimits(cfg *config.Config, maxConnections int, memory memoryBudgets) listener.Limits {
 	operator := cfg.Operator.Listener
 	return listener.Limits{
 		MaxConnections:      maxConnections,
@@ -125,6 +134,7 @@
 		CrowdedIdleTimeout:  operator.CrowdedIdleTimeout.D(),
 		IdleTimeout:         operator.IdleTimeout.D(),
 		MaxUnsentBytes:      megabytes(cfg.MemoryMB) / unsentMemoryDivisor,
-		ResponseMemory:      responses,
+		RequestMemory:       memory.requests,
+		ResponseMemory:      memory.responses,
 	}
 }
--- a/internal/daemon/sizing_test.go
+++ b/internal/daemon/sizing_test.go
@@ -36,14 +36,14 @@
 
 func TestPipelinedCommandsAreBoundedByMemory(t *testing.T) {
 	for memoryMB, want := range map[int]int{8: 8, 32: 16, 192: 96, 4096: 128} {
-		if got := listenerLimits(sizedConfig(memoryMB), 1, nil).MaxPipelined; got != want {
+		if got := listenerLimits(sizedConfig(memoryMB), 1, memoryBudgets{}).MaxPipelined; got != want {
 			t.Errorf("%d MB: %d commands, want %d", memoryMB, got, want)
 		}
 	}
 }
 
 func TestUnsentResponsesAreBoundedByMemory(t *testing.T) {
-	if got, want := listenerLimits(sizedConfig(192), 1, nil).MaxUnsentBytes, 24<<20; got != want {
+	if got, want := listenerLimits(sizedConfig(192), 1, memoryBudgets{}).MaxUnsentBytes, 24<<20; got != want {
 		t.Errorf("got %d bytes, want %d", got, want)
 	}
 }
--- a/internal/listener/commands.go
+++ b/internal/listener/commands.go
@@ -18,20 +18,26 @@
 )
 
 // decode dispatches the complete commands that were read from a connection. It pauses the connection when MaxPipelined commands
-// wait for responses, or when there is no memory for the response to a further one.
+// wait for responses, or when there is no memory for a long argument or for the response to a further command.
 func (c *Core) decode(now time.Time, conn *Conn, effects *Effects) {
 	conn.isPaused = false
 	for !conn.isClosed {
-		if len(conn.slots) >= c.limits.MaxPipelined || conn.framing.hasBytes() && !c.reserveForNext(conn) {
+		if len(conn.slots) >= c.limits.MaxPipelined || conn.commands.hasBytes() && !c.reserveForNext(conn) {
 			conn.isPaused = true
 			return
 		}
-		// The reader copies each command into a buffer of its own, so the slices of a command may be kept.
-		command, err := conn.commands.ReadCommand()
+		next, err := conn.commands.next()
 		switch {
+		case errors.Is(err, errNeedMemory):
+			if c.reserveArgument(now, conn) {
+				continue
+			}
+			c.table.PartialCommand(c.tableTime(now), conn.id)
+			conn.isPaused = true
+			return
 		case errors.Is(err, errNeedMoreBytes):
 			c.releaseForNext(conn)
-			if conn.framing.hasPartialCommand() {
+			if conn.commands.hasPartialCommand() {
 				c.table.PartialCommand(c.tableTime(now), conn.id)
 			}
 			return
@@ -39,7 +45,7 @@
 			c.rejectFraming(now, conn, err, effects)
 			return
 		}
-		c.dispatch(now, conn, command, effects)
+		c.dispatch(now, conn, next, effects)
 	}
 }
 
@@ -54,15 +60,29 @@
 }
 
 // dispatch handles one command: it hands requests to the handler and answers all other commands itself.
-func (c *Core) dispatch(now time.Time, conn *Conn, command redcon.Command, effects *Effects) {
-	arguments := len(command.Args) - 1
-	switch name := command.Args[0]; {
-	case isCommand(name, getCommand), isCommand(name, setCommand):
-		c.dispatchRequest(now, conn, command, effects)
+func (c *Core) dispatch(now time.Time, conn *Conn, received command, effects *Effects) {
+	if received.reservedMemory > 0 {
+		c.forgetArgument(conn)
+	}
+	name := received.args[0]
+	if isCommand(name, getCommand) || isCommand(name, setCommand) {
+		c.dispatchRequest(now, conn, received, effects)
+		return
+	}
+	c.dispatchOther(now, conn, received, effects)
+	c.limits.RequestMemory.Release(received.reservedMemory)
+}
+
+// dispatchOther answers a command that is no request.
+func (c *Core) dispatchOther(now time.Time, conn *Conn, received command, effects *Effects) {
+	arguments := len(received.args) - 1
+	switch name := received.args[0]; {
 	case isCommand(name, "PING") && arguments == 0:
 		c.answer(now, conn, admission.CommandOther, redcon.AppendString(nil, "PONG"), effects)
+	case isCommand(name, "PING") && arguments == 1 && received.isIncomplete:
+		c.answer(now, conn, admission.CommandOther, busyResponse, effects)
 	case isCommand(name, "PING") && arguments == 1:
-		c.answer(now, conn, admission.CommandOther, redcon.AppendBulk(nil, command.Args[1]), effects)
+		c.answer(now, conn, admission.CommandOther, redcon.AppendBulk(nil, received.args[1]), effects)
 	case isCommand(name, "INFO"):
 		c.answer(now, conn, admission.CommandOther, redcon.AppendBulkString(nil, c.count.String()), effects)
 	case isCommand(name, "CLIENT"), isCommand(name, "SELECT"):
@@ -78,12 +98,14 @@
 func isCommand(name []byte, command string) bool { return bytes.EqualFold(name, []byte(command)) }
 
 // dispatchRequest hands a command to the handler as a request.
-func (c *Core) dispatchRequest(now time.Time, conn *Conn, command redcon.Command, effects *Effects) {
-	r, err := c.parseRequest(conn.arrival(now, c.pause.earliestArrival(now)), command)
+func (c *Core) dispatchRequest(now time.Time, conn *Conn, received command, effects *Effects) {
+	r, err := c.parseRequest(conn.arrival(now, c.pause.earliestArrival(now)), received.args)
 	if err != nil {
+		c.limits.RequestMemory.Release(received.reservedMemory)
 		c.rejectCommand(now, conn, err, effects)
 		return
 	}
+	r.CommandMemory, r.IsValueDiscarded = received.reservedMemory, received.isIncomplete
 	r.ConnectionID = conn.id
 	switch {
 	case len(conn.slots) == 0:
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"shelfproxy/internal/admission"
 	"shelfproxy/internal/pause"
 	"shelfproxy/internal/request"
@@ -20,15 +18,16 @@
 	NotifyMemory func()
 
 	id                  uint64 // identifies the connection in the connection table
-	framing             framingGuard
-	commands            *redcon.Reader  // parses the bytes that framing hands over
+	commands            commandReader
 	slots               []*ResponseSlot // one per command whose response is not written yet, in the order of the commands
 	writing             int             // number of leading slots whose responses are being written
 	writingSince        time.Time       // when the last write of responses began
 	isPaused            bool            // no further command is read: MaxPipelined commands wait for responses, or there is no memory for another response
 	responseSize        sizeEstimate
 	reservedMemory      int                   // bytes of response memory that are reserved for the response to the next command
-	memoryWait          *admission.MemoryWait // the reservation that the connection waits for; nil if it waits for none
+	memoryWait          *admission.MemoryWait // the reservation of response memory that the connection waits for; nil if it waits for none
+	argumentWait        *admission.MemoryWait // the reservation for a long argument that the connection waits for; nil if it waits for none
+	argumentSince       time.Time             // when the connection began to wait for that memory or, after it was reserved, to read the argument
 	isFramingBroken     bool                  // the framing is broken: no further byte is read
 	closeAfterResponses bool                  // close the connection once all pending responses are written
 	isCheckingUnread    bool                  // CheckUnread has been requested, and UnreadChecked has not been called yet
@@ -43,9 +42,7 @@
 }
 
 func newConn(id uint64) *Conn {
-	conn := &Conn{id: id, NotifyMemory: func() {}}
-	conn.commands = redcon.NewReader(&conn.framing)
-	return conn
+	return &Conn{id: id, NotifyMemory: func() {}}
 }
 
 // accepted records when the connection was accepted, and the earliest time at which the client may have opened it.
@@ -78,7 +75,7 @@
 }
 
 // ReadBuffer returns the buffer for the next bytes from the client. It must not be filled while the connection is paused.
-func (c *Conn) ReadBuffer() []byte { return c.framing.buffer[:] }
+func (c *Conn) ReadBuffer() []byte { return c.commands.buffer[:] }
 
 // IsPaused reports whether the shell must stop reading until the effect ResumeReading.
 func (c *Conn) IsPaused() bool { return c.isPaused }
--- a/internal/listener/core.go
+++ b/internal/listener/core.go
@@ -27,6 +27,7 @@
 	table             *admission.ConnectionTable // decides which connections are kept; holds the open connections, not the lingering ones
 	maxConnections    int
 	conns             map[uint64]*Conn // the open connections by id
+	longArguments     []*Conn          // connections that read a long argument, or wait for its memory, in the order in which they began
 	lingering         []*Conn          // connections that have ended but are still read for a while, earliest deadline first
 	lastID            uint64
 	capacityExhausted int64 // number of times that a connection had to wait for capacity
@@ -99,7 +100,7 @@
 	if conn.isClosed {
 		return
 	}
-	conn.framing.bytesRead(n)
+	conn.commands.bytesRead(n)
 	c.decode(now, conn, effects)
 	c.closeIfDone(now, conn, effects)
 }
@@ -113,7 +114,7 @@
 // closeIfDone closes a connection for which closeAfterResponses is set, once it has neither a pending response nor a partial
 // command.
 func (c *Core) closeIfDone(now time.Time, conn *Conn, effects *Effects) {
-	if conn.closeAfterResponses && len(conn.slots) == 0 && !conn.framing.hasPartialCommand() {
+	if conn.closeAfterResponses && len(conn.slots) == 0 && !conn.commands.hasPartialCommand() {
 		c.closeUnlessUnread(now, conn, effects)
 	}
 }
@@ -239,6 +240,7 @@
 	}
 	c.releaseSlots(conn.slots)
 	c.releaseForNext(conn)
+	c.abandonCommand(conn)
 	conn.slots = nil
 	effects.capacityAvailable()
 }
--- a/internal/listener/core_property_test.go
+++ b/internal/listener/core_property_test.go
@@ -47,8 +47,10 @@
 }
 
 func newCoreModel(t *rapid.T) *coreModel {
-	memory := admission.NewResponseMemory(rapid.SampledFrom([]int{1 << 20, 5000, 1000}).Draw(t, "response memory"))
-	limits := Limits{MaxConnections: 4, MaxPipelined: 3, MaxValue: 100, WriteTimeout: time.Second, MaxUnsentBytes: 100 << 10, ResponseMemory: memory,
+	memory := admission.NewMemoryBudget(rapid.SampledFrom([]int{1 << 20, 5000, 1000}).Draw(t, "response memory"))
+	requestMemory := admission.NewMemoryBudget(rapid.SampledFrom([]int{1 << 20, 10 << 10, 1000}).Draw(t, "request memory"))
+	limits := Limits{MaxConnections: 4, MaxPipelined: 3, MaxValue: 8 << 10, WriteTimeout: time.Second, MaxUnsentBytes: 100 << 10,
+		RequestMemory: requestMemory, ResponseMemory: memory,
 		FirstCommandTimeout: 2 * time.Second, CrowdedIdleTimeout: 50 * time.Millisecond, IdleTimeout: 5 * time.Second}
 	now := time.Unix(1000, 0)
 	model := &coreModel{core: newTestCore(now, limits), limits: limits, now: now, requests: map[string]*modelRequest{}, replied: map[string]bool{}, current: t}
@@ -134,9 +136,9 @@
 	if len(client.sent) > 0 && !isPastDrain {
 		t.Fatalf("got a connection closed gracefully with %d unread bytes, want it kept", len(client.sent))
 	}
-	unread := strings.Count(string(client.sent), "CACHE.GET") + strings.Count(string(client.sent), "HELLO")
+	unread := strings.Count(string(client.sent), "CACHE.") + strings.Count(string(client.sent), "HELLO")
 	read := len(client.unanswered) - unread
-	if client.conn.framing.hasPartialCommand() {
+	if client.conn.commands.hasPartialCommand() {
 		read--
 	}
 	if read > 0 {
@@ -228,6 +230,18 @@
 	}
 }
 
+// sendWrite sends a write of a long value, or the first part of it and the rest later.
+func (m *coreModel) sendWrite(t *rapid.T) {
+	if client := m.pickClient(t); client != nil && !client.isEnded {
+		m.lastID++
+		id := fmt.Sprint("id", m.lastID)
+		client.unanswered = append(client.unanswered, id)
+		value := strings.Repeat("v", maxShortCommand)
+		client.sent = fmt.Appendf(client.sent, "*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$%d\r\n%s\r\n$13\r\nc=read,d=3000\r\n$%d\r\n%s\r\n", len(id), id,
+			len(value), value)
+	}
+}
+
 func (m *coreModel) sendInvalidCommand(t *rapid.T) {
 	if client := m.pickClient(t); client != nil && !client.isEnded {
 		client.unanswered = append(client.unanswered, invalidCommand)
@@ -243,6 +257,7 @@
 			continue
 		}
 		m.replied[id] = true
+		m.limits.RequestMemory.Release(r.CommandMemory)
 		response := request.Response{Kind: request.ResponseKind(rapid.IntRange(0, 2).Draw(t, "kind"))}
 		if response.Kind == request.Served {
 			response.Value = []byte("for-" + id)
@@ -277,9 +292,14 @@
 func (m *coreModel) finish(t *rapid.T) {
 	m.current = t
 	for range 50 {
+		if slices.ContainsFunc(m.core.longArguments, (*Conn).isWaitingForArgument) {
+			m.now = m.now.Add(maxMemoryWait)
+			m.expireIdle(t)
+		}
 		for id, r := range m.requests {
 			if !m.replied[id] {
 				m.replied[id] = true
+				m.limits.RequestMemory.Release(r.CommandMemory)
 				r.Reply(request.Response{Kind: request.Failed})
 			}
 		}
@@ -302,8 +322,8 @@
 	}
 	m.now = m.now.Add(lingerTimeout) // lingering connections end at their deadline
 	m.expireIdle(t)
-	if used := m.limits.ResponseMemory.Used(); used != 0 {
-		t.Fatalf("%d bytes of response memory are reserved in the end, want none", used)
+	if requests, responses := m.limits.RequestMemory.Used(), m.limits.ResponseMemory.Used(); requests != 0 || responses != 0 {
+		t.Fatalf("%d bytes of request memory and %d of response memory are reserved in the end, want none", requests, responses)
 	}
 	if used, _ := m.core.Usage(); used != 0 || len(m.core.conns) != 0 {
 		t.Fatalf("%d connections are used and %d open in the end, want none", used, len(m.core.conns))
@@ -313,13 +333,14 @@
 // TestCoreKeepsItsInvariantsInAnyOrderOfCalls makes random calls of a core, in any order that a shell could, and checks these
 // invariants. Each command gets one response, in order and with the reply of the handler; an invalid command gets an error. The
 // handler is told once that a client has disconnected. The number of commands that wait for responses is bounded. No connection
-// is closed gracefully while it has unread bytes. No connection is left in the end, and no response memory is reserved.
+// is closed gracefully while it has unread bytes. No connection is left in the end, and no memory is reserved.
 func TestCoreKeepsItsInvariantsInAnyOrderOfCalls(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		model := newCoreModel(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"connect":              model.connect,
 			"send request":         model.sendRequest,
+			"send write":           model.sendWrite,
 			"send invalid command": model.sendInvalidCommand,
 			"deliver": func(t *rapid.T) {
 				if client := model.pickClient(t); client != nil {
--- a/internal/listener/expiry.go
+++ b/internal/listener/expiry.go
@@ -21,6 +21,7 @@
 	for len(c.lingering) > 0 && !now.Before(c.lingering[0].lingerDeadline) {
 		c.endLingering(c.lingering[0], effects)
 	}
+	c.expireArguments(now, effects)
 	if c.isDraining {
 		c.expireDrain(now, effects)
 		return maxSweepInterval
@@ -79,7 +80,7 @@
 	c.isDraining, c.drainDeadline = true, now.Add(lingerTimeout)
 	effects.capacityAvailable()
 	for _, id := range slices.Sorted(maps.Keys(c.conns)) {
-		if conn := c.conns[id]; conn.framing.hasPartialCommand() {
+		if conn := c.conns[id]; conn.commands.hasPartialCommand() {
 			conn.closeAfterResponses, conn.endReason = true, EndedByDrain
 		} else {
 			c.finish(now, conn, EndedByDrain, effects)
--- a/internal/listener/framing.go
+++ b/internal/listener/framing.go
@@ -1,7 +1,5 @@
 package listener
 
-import "errors"
-
 // Bounds of one command, past which its framing counts as broken. They leave some space above the largest allowed value: a value
 // that is only a little too large is still read completely, so that the client gets an error response about it.
 const (
@@ -9,7 +7,8 @@
 	maxArgumentLength = 72 << 10 // bytes
 	maxCommandLength  = 80 << 10 // bytes of all arguments
 	maxLengthDigits   = 10
-	readBufferSize    = 4 << 10 // bytes
+	// maxShortCommand is the number of bytes of a command's arguments from which on their memory is reserved.
+	maxShortCommand = 4 << 10
 )
 
 // protocolError describes how the framing of a connection is broken. Clients receive its text after "-ERR ", so the text must not
@@ -25,9 +24,6 @@
 	errInvalidFraming  protocolError = "expected an array of bulk strings"
 )
 
-// errNeedMoreBytes is returned by framingGuard.Read when all bytes that were received have been handed to redcon's reader.
-var errNeedMoreBytes = errors.New("more bytes are needed")
-
 // framingState is the part of the framing that a framingGuard expects next.
 type framingState int
 
@@ -40,12 +36,9 @@
 	expectBulkLF
 )
 
-// framingGuard is the input of redcon's reader. It checks the framing and ends the stream before the byte that breaks it.
-// redcon's reader cannot be left to check the framing: the reader drops valid commands that arrive in the same read as a broken
-// one. An array count near the largest integer makes it loop forever, and a bulk string length of that size makes it panic. A
-// command without an end makes its buffer grow without bound.
-//
-// framingGuard never waits for bytes: when it has none it returns errNeedMoreBytes. It is not safe for concurrent use.
+// framingGuard checks the framing of commands, byte by byte, and finds the end of each command. The bytes that break the framing
+// do not reach redcon's parser, which has no bounds: an array count near the largest integer makes it loop forever, and a bulk
+// string length of that size makes it panic. It is not safe for concurrent use.
 type framingGuard struct {
 	err      error // describes how the framing is broken; nil while it is valid
 	state    framingState
@@ -53,43 +46,16 @@
 	number   int  // value of the digits read so far; within a bulk string, the number of its bytes that are still to come
 	digits   int  // how many digits of the number have been read so far
 	argsLeft int  // bulk strings of the command that are not complete yet
-	length   int  // bytes of the command's bulk strings so far
+	length   int  // bytes of the command's bulk strings so far, the one that was announced last included
 
-	buffer [readBufferSize]byte // buffer[next:end] has been read from the client but not handed over yet
-	next   int
-	end    int
+	isAtLongBulk bool // the header of a bulk string that makes the command long was accepted last; the caller resets it
 }
 
-// bytesRead records that n bytes were read into buffer. All earlier bytes must have been handed over.
-func (g *framingGuard) bytesRead(n int) { g.next, g.end = 0, n }
-
-// hasBytes reports whether bytes were read that have not been handed over.
-func (g *framingGuard) hasBytes() bool { return g.next < g.end }
-
-// hasPartialCommand reports whether the first part of a command was handed over, but not all of it.
+// hasPartialCommand reports whether the first part of a command was accepted, but not all of it.
 func (g *framingGuard) hasPartialCommand() bool { return g.state != expectHeader || g.argsLeft > 0 }
 
-// Read implements io.Reader. It returns no more than the rest of the current command, because redcon's reader reuses its buffer only
-// once the buffer is empty. If each read ended in a partial command, the reader would double its buffer again and again, until the
-// buffer held all bytes that the client ever sent.
-func (g *framingGuard) Read(b []byte) (int, error) {
-	if g.err != nil {
-		return 0, g.err
-	}
-	if g.next == g.end {
-		return 0, errNeedMoreBytes
-	}
-	input := g.buffer[g.next:min(g.end, g.next+len(b))]
-	accepted := g.accept(input)
-	g.next += copy(b, input[:accepted])
-	if accepted == 0 {
-		return 0, g.err
-	}
-	return accepted, nil // no error yet, even if g.err is set: the bytes before the broken one may complete a command
-}
-
-// accept checks the framing of input up to the end of the current command, or up to the byte that breaks the framing, and returns
-// the number of valid bytes.
+// accept checks the framing of input up to the end of the current command, the header of a long bulk string, or the byte that breaks
+// the framing. It returns the number of valid bytes.
 func (g *framingGuard) accept(input []byte) (accepted int) {
 	for accepted < len(input) {
 		if g.state == expectBulk {
@@ -100,7 +66,7 @@
 			return accepted
 		}
 		accepted++
-		if !g.hasPartialCommand() {
+		if g.isAtLongBulk || !g.hasPartialCommand() {
 			return accepted
 		}
 	}
@@ -190,6 +156,7 @@
 	if g.state = expectBulk; g.number == 0 {
 		g.state = expectBulkCR
 	}
+	g.isAtLongBulk = g.length > maxShortCommand && g.number > 0
 	return nil
 }
 
--- a/internal/listener/limits.go
+++ b/internal/listener/limits.go
@@ -14,7 +14,8 @@
 	WriteTimeout   time.Duration // bounds one write of responses; a connection whose write does not complete in this time is closed
 	MaxUnsentBytes int           // bytes of unsent responses to all clients together, past which connections whose clients read nothing are closed; 0 means no bound
 
-	ResponseMemory *admission.ResponseMemory // bounds the responses that the node holds; nil is no bound
+	RequestMemory  *admission.MemoryBudget // bounds the commands that the node holds; nil is no bound
+	ResponseMemory *admission.MemoryBudget // bounds the responses that the node holds; nil is no bound
 
 	// The fields below bound how long a connection without an open request may stay.
 
--- a/internal/listener/parse.go
+++ b/internal/listener/parse.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"shelfproxy/internal/request"
 )
 
@@ -41,18 +39,18 @@
 
 // parseRequest returns the request of a command "CACHE.GET key id parameters" or "CACHE.SET key id parameters value". If the
 // command is invalid, it returns an error whose text is sent to the client.
-func (c *Core) parseRequest(receivedAt time.Time, command redcon.Command) (*request.Request, error) {
-	parsed := &request.Request{ReceivedAt: receivedAt, IsWrite: isCommand(command.Args[0], setCommand)}
+func (c *Core) parseRequest(receivedAt time.Time, args [][]byte) (*request.Request, error) {
+	parsed := &request.Request{ReceivedAt: receivedAt, IsWrite: isCommand(args[0], setCommand)}
 	wantArgs := 4
 	if parsed.IsWrite {
 		wantArgs = 5
 	}
-	if len(command.Args) != wantArgs {
-		return nil, argumentCountError{command: string(command.Args[0])}
+	if len(args) != wantArgs {
+		return nil, argumentCountError{command: string(args[0])}
 	}
-	parsed.Key, parsed.ID, parsed.Parameters = command.Args[1], command.Args[2], command.Args[3]
+	parsed.Key, parsed.ID, parsed.Parameters = args[1], args[2], args[3]
 	if parsed.IsWrite {
-		parsed.Value = command.Args[4]
+		parsed.Value = args[4]
 	}
 	if err := c.checkArguments(parsed); err != nil {
 		return nil, err
--- a/internal/listener/parse_test.go
+++ b/internal/listener/parse_test.go
@@ -41,7 +41,7 @@
 			for _, arg := range test.args {
 				command.Args = append(command.Args, []byte(arg))
 			}
-			_, err := core.parseRequest(time.Unix(1000, 0), command)
+			_, err := core.parseRequest(time.Unix(1000, 0), command.Args)
 			if !errors.Is(err, test.want) {
 				t.Errorf("got error %v, want %v", err, test.want)
 			}
--- a/internal/listener/pipelining_test.go
+++ b/internal/listener/pipelining_test.go
@@ -20,14 +20,14 @@
 // pipeliningCore is a core with a bound on responses, the requests that it has handed over, and the connections to resume.
 type pipeliningCore struct {
 	*Core
-	memory   *admission.ResponseMemory
+	memory   *admission.MemoryBudget
 	now      time.Time
 	requests []*request.Request
 	effects  Effects
 }
 
 func newPipeliningCore(memoryBytes int) *pipeliningCore {
-	memory := admission.NewResponseMemory(memoryBytes)
+	memory := admission.NewMemoryBudget(memoryBytes)
 	now := time.Unix(1000, 0)
 	p := &pipeliningCore{memory: memory, now: now}
 	p.Core = newTestCore(now, Limits{MaxConnections: 64, MaxPipelined: 32, MaxValue: 64 << 10, FirstCommandTimeout: time.Minute,
--- a/internal/listener/responses.go
+++ b/internal/listener/responses.go
@@ -9,7 +9,10 @@
 	"shelfproxy/internal/request"
 )
 
-var crlf = []byte("\r\n")
+var (
+	crlf         = []byte("\r\n")
+	busyResponse = []byte("-BUSY\r\n")
+)
 
 // Respond stores the response to a request in its slot. The response is written after those to all earlier commands of the
 // connection.
@@ -41,7 +44,7 @@
 		if ms := response.RetryAfter.Milliseconds(); ms > 0 {
 			return redcon.AppendError(nil, "BUSY "+strconv.FormatInt(ms, 10)), nil
 		}
-		return []byte("-BUSY\r\n"), nil
+		return busyResponse, nil
 	case request.Failed:
 		return []byte("-ERR failed\r\n"), nil
 	case request.Invalid:
--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"shelfproxy/internal/admission"
 	"shelfproxy/internal/discovery"
 	"shelfproxy/internal/policy"
 	"shelfproxy/internal/request"
@@ -40,8 +39,7 @@
 	byRequest    map[*request.Request]*openRequest
 	ids          map[string]bool // ids of the requests that are owed a response
 	lastID       uint64
-	openRequests int // number of requests that are owed a response
-	memory       admission.RequestMemory
+	openRequests int     // number of requests that are owed a response
 	loadLevel    float64 // load level that the policy was last notified of
 	requestLog   requestLog
 
@@ -68,7 +66,6 @@
 		classes: map[string]int{}, requests: map[uint64]*openRequest{}, byRequest: map[*request.Request]*openRequest{},
 		ids: map[string]bool{}, endpoints: map[string]*endpoint{},
 		endpointsAt: map[string][]*endpoint{}, removedEndpoints: map[string]*endpoint{}, requestLog: newRequestLog(options.Log, options.Counters)}
-	core.memory.Limit = options.MaxRequestBytes
 	for i, class := range options.Policy.Classes {
 		core.classes[class.Name] = i
 	}
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"shelfproxy/internal/admission"
 	"shelfproxy/internal/counters"
 	"shelfproxy/internal/discovery"
 	"shelfproxy/internal/policy"
@@ -62,6 +63,7 @@
 // testNode is a core with one cache server and an origin, on a simulated clock.
 type testNode struct {
 	core                *Core
+	memory              *admission.MemoryBudget // memory of requests
 	now                 time.Time
 	cacheServer, origin *fakePool
 	responses           int
@@ -69,13 +71,15 @@
 
 func newTestNode(t *testing.T) *testNode {
 	t.Helper()
-	node := &testNode{now: time.Unix(1000, 0), cacheServer: &fakePool{}, origin: &fakePool{}}
+	node := &testNode{now: time.Unix(1000, 0), cacheServer: &fakePool{}, origin: &fakePool{},
+		memory: admission.NewMemoryBudget(1 << 20)}
 	read := policy.Class{Name: "read", PriorityWeight: 1, LatencyObjective: time.Second, LateFraction: 0.5}
 	put := policy.Class{Name: "put", PriorityWeight: 5, LatencyObjective: time.Second, LateFraction: 0.5, Effect: policy.AtMostOnce}
 	options := Options{
 		Policy: policy.Settings{Nodes: 1, Classes: []policy.Class{read, put}, OriginKind: "origin", MaxAttempts: 6, OverloadFactor: 3,
 			SlowStartFloor: 0.2, SlowStartDuration: time.Second, MayHealthCheck: true, MustPoll: true, Tick: time.Millisecond},
 		MaxOpenRequests: 1000,
+		RequestMemory:   node.memory,
 		Counters:        counters.New([]string{"read", "put"}, request.ResponseKinds(), make([]string, upstream.NumOutcomes())),
 		Log:             slog.New(slog.DiscardHandler),
 		InitialList: discovery.List{Version: 1, IsFull: true, Servers: []discovery.Server{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,9 +36,9 @@
 	Policy           policy.Settings
 	Seed             uint64 // seed of the policy's random numbers
 	MaxOpenRequests  int
-	MaxRequestBytes  int                       // memory of the requests that are owed a response, in bytes; 0 is no bound
-	ResponseMemory   *admission.ResponseMemory // memory that the pools reserve for responses; nil is no bound
-	MaxClientTimeout time.Duration             // longest timeout of any class, to which the timeouts of clients are cut; 0 is no bound
+	RequestMemory    *admission.MemoryBudget // memory of the requests that are owed a response or have attempts in flight; nil is no bound
+	ResponseMemory   *admission.MemoryBudget // memory that the pools reserve for responses; nil is no bound
+	MaxClientTimeout time.Duration           // longest timeout of any class, to which the timeouts of clients are cut; 0 is no bound
 	InitialList      discovery.List
 	Source           discovery.Source
 	// NewUpstream returns the Upstream that carries attempts to a server. The Upstream calls report with the outcome of each
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"shelfproxy/internal/admission"
 	"shelfproxy/internal/policy"
 	"shelfproxy/internal/request"
 	"shelfproxy/internal/upstream"
@@ -12,24 +13,30 @@
 	clientTransitTime  = 2 * time.Millisecond // assumed transit time: a client's timeout starts when it sends a request, a little before the node reads it
 	minRequestTimeout  = time.Millisecond
 	policyGraceTimeout = 5 * time.Millisecond // wait for the policy's answer after the deadline of a request
+
+	// bytesPerRequest is the memory that the node keeps for a request in addition to its value: the request, its attempts, timers
+	// and map entries, and its part of the buffers that it was read from and is written to.
+	bytesPerRequest = 2 << 10
 )
 
 // openRequest is a request that is owed a response, or has attempts in flight.
 type openRequest struct {
 	*request.Request
-	id               uint64 // identifies the request to the policy
-	class            int
-	attempts         []*upstream.Attempt // attempts by number; an element is nil once the attempt has ended
-	inFlight         int                 // number of attempts that have not ended
-	isAnswered       bool                // no response is owed: one was given, or the client has disconnected
-	deadline         time.Time
-	expiry           *timer // fires at the deadline; nil for a request that was rejected at once
-	isMemoryReserved bool   // whether Core.memory has reserved memory for the request
+	id             uint64 // identifies the request to the policy
+	class          int
+	attempts       []*upstream.Attempt // attempts by number; an element is nil once the attempt has ended
+	inFlight       int                 // number of attempts that have not ended
+	isAnswered     bool                // no response is owed: one was given, or the client has disconnected
+	deadline       time.Time
+	expiry         *timer // fires at the deadline; nil for a request that was rejected at once
+	hasMemory      bool   // memory is reserved for the request; without it the request is rejected
+	reservedMemory int    // bytes of request memory that are reserved, by the listener and by the core
 }
 
 // HandleRequest handles a request that has arrived. It ignores a request whose client has already disconnected.
 func (c *Core) HandleRequest(r *request.Request) {
 	if r.IsCancelled() { // the client disconnected while the request was queued
+		c.options.RequestMemory.Release(r.CommandMemory)
 		return
 	}
 	c.handleRequest(r)
@@ -39,11 +46,12 @@
 func (c *Core) handleRequest(r *request.Request) {
 	if c.ids[string(r.ID)] {
 		c.options.Counters.Duplicate.Add(1)
+		c.options.RequestMemory.Release(r.CommandMemory)
 		r.Reply(request.Response{Kind: request.Invalid, Text: "request id is in use"})
 		return
 	}
 	open := c.register(r)
-	if c.openRequests > c.options.MaxOpenRequests || !open.isMemoryReserved { // rejected unexecuted
+	if c.openRequests > c.options.MaxOpenRequests || !open.hasMemory { // rejected unexecuted
 		c.respond(open, request.Response{Kind: request.Rejected}, causeOfOverload(open))
 		return
 	}
@@ -69,13 +77,30 @@
 		deadline: r.ReceivedAt.Add(max(timeout-clientTransitTime, minRequestTimeout))}
 	c.requests[open.id], c.byRequest[r], c.ids[string(r.ID)] = open, open, true
 	c.openRequests++
-	open.isMemoryReserved = c.memory.Reserve(len(r.Value), r.IsWrite)
-	if !open.isMemoryReserved {
+	c.reserveMemory(open)
+	if !open.hasMemory {
 		c.options.Counters.RejectedForMemory.Add(1)
 	}
 	return open
 }
 
+// reserveMemory reserves memory for a request, if there is enough. The value is counted here unless the listener has reserved memory
+// for it.
+func (c *Core) reserveMemory(open *openRequest) {
+	open.reservedMemory = open.CommandMemory
+	needed, use := bytesPerRequest, admission.ReadRequest
+	if open.IsWrite {
+		use = admission.WriteRequest
+	}
+	if open.CommandMemory == 0 {
+		needed += len(open.Value)
+	}
+	if !open.IsValueDiscarded && c.options.RequestMemory.Reserve(needed, use) {
+		open.hasMemory = true
+		open.reservedMemory += needed
+	}
+}
+
 // ClientDisconnected handles the disconnect of a client that is owed the response to a request.
 func (c *Core) ClientDisconnected(r *request.Request) {
 	c.disconnect(r)
@@ -97,7 +122,7 @@
 
 // causeOfOverload returns why a request is rejected when it arrives, without a decision of the policy.
 func causeOfOverload(open *openRequest) string {
-	if open.isMemoryReserved {
+	if open.hasMemory {
 		return causeMaxOpen
 	}
 	return causeNoMemory
@@ -121,20 +146,19 @@
 	c.forgetIfDone(open)
 }
 
-// release records that no response is owed for a request any more, and releases the memory that is reserved for the request.
+// release records that no response is owed for a request any more.
 func (c *Core) release(open *openRequest) {
 	open.isAnswered = true
-	if open.isMemoryReserved {
-		c.memory.Release(len(open.Value))
-	}
 	delete(c.ids, string(open.ID))
 	c.openRequests--
 	c.checkDrained()
 }
 
-// forgetIfDone removes a request that is answered and has no attempt in flight. It ignores nil.
+// forgetIfDone removes a request that is answered and has no attempt in flight, and releases its memory. It ignores nil.
 func (c *Core) forgetIfDone(open *openRequest) {
 	if open != nil && open.isAnswered && open.inFlight == 0 {
+		c.options.RequestMemory.Release(open.reservedMemory)
+		open.reservedMemory = 0 // the request may be forgotten twice
 		delete(c.requests, open.id)
 		delete(c.byRequest, open.Request)
 		c.timers.cancel(open.expiry)
--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"shelfproxy/internal/admission"
 	"shelfproxy/internal/request"
 	"shelfproxy/internal/upstream"
 )
@@ -52,3 +53,64 @@
 		t.Errorf("%d requests and %d ids are retained in the end, want none", requests, ids)
 	}
 }
+
+// TestRequestMemoryIsReleased checks that a request gives its memory back, with what the listener has reserved for its command, once
+// it is answered and nothing is in flight for it, whatever its end.
+func TestRequestMemoryIsReleased(t *testing.T) {
+	const commandMemory = 10_000
+	for name, play := range map[string]func(node *testNode, r *request.Request){
+		"answered": func(node *testNode, r *request.Request) {
+			node.core.HandleRequest(r)
+			node.origin.writeAll()
+			node.origin.endOldest(upstream.Served)
+		},
+		"cancelled before it is handled": func(node *testNode, r *request.Request) {
+			r.Cancel()
+			node.core.HandleRequest(r)
+		},
+		"with an id that is in use": func(node *testNode, r *request.Request) {
+			other := node.handle(string(r.ID), "read")
+			node.core.HandleRequest(r)
+			node.core.ClientDisconnected(other)
+		},
+		"without its value": func(node *testNode, r *request.Request) {
+			r.IsValueDiscarded = true
+			var answer request.ResponseKind
+			r.Reply = func(response request.Response) { answer = response.Kind }
+			node.core.HandleRequest(r)
+			if answer != request.Rejected || node.origin.writeAll() != 0 {
+				t.Errorf("without its value: got answer %v, want %v and nothing forwarded", answer, request.Rejected)
+			}
+		},
+		"timed out": func(node *testNode, r *request.Request) {
+			node.core.HandleRequest(r)
+			node.origin.writeAll()
+			node.passTime(r.ClientTimeout)
+		},
+	} {
+		node := newTestNode(t)
+		r := node.newRequest("id", "put")
+		r.CommandMemory = commandMemory
+		node.memory.Reserve(commandMemory, admission.LongCommand)
+		play(node, r)
+		if used := node.memory.Used(); used != 0 {
+			t.Errorf("%s: %d bytes are reserved in the end, want 0", name, used)
+		}
+	}
+}
+
+// TestRequestKeepsItsMemoryWhileItIsInFlight checks that the memory of a request whose client has disconnected is not given to
+// others while an attempt, which holds the value, is in flight.
+func TestRequestKeepsItsMemoryWhileItIsInFlight(t *testing.T) {
+	node := newTestNode(t)
+	r := node.handle("id", "put")
+	node.origin.writeAll()
+	node.core.ClientDisconnected(r)
+	if used := node.memory.Used(); used != bytesPerRequest {
+		t.Errorf("%d bytes are reserved while the attempt is in flight, want %d", used, bytesPerRequest)
+	}
+	node.origin.endOldest(upstream.Served)
+	if used := node.memory.Used(); used != 0 {
+		t.Errorf("%d bytes are reserved in the end, want 0", used)
+	}
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -19,7 +19,11 @@
 	Value         []byte        // the value that a write stores
 	ReceivedAt    time.Time     // earliest possible time of arrival, which is before the read if the process was paused
 	ClientTimeout time.Duration // how long the client waits for the response, from the time that it sent the request
-	ConnectionID  uint64        // the listener's number for the client's connection, used for fairness between connections
+	// CommandMemory is the request memory, in bytes, that the listener has reserved for the command. The handler gives it back once
+	// nothing refers to the request any more.
+	CommandMemory    int
+	IsValueDiscarded bool   // there was no memory for the value, so the request can only be rejected
+	ConnectionID     uint64 // the listener's number for the client's connection, used for fairness between connections
 	// Reply delivers the one final response. The node calls it from its event loop, so it must not block.
 	Reply func(Response)
 
--- a/internal/testbed/simulation/known_faults_test.go
+++ b/internal/testbed/simulation/known_faults_test.go
@@ -39,6 +39,7 @@
 	{"memory of responses that are written leaks", "internal/listener/pipelining.go", "c.limits.ResponseMemory.Release(slot.reservedMemory)", "c.limits.ResponseMemory.Release(0)", nil, false},
 	{"memory of responses that come late leaks", "internal/node/attempts.go", "c.options.Counters.LateResponses.Add(1) // the attempt was abandoned before\n\t\tc.options.ResponseMemory.Release(response.ReservedMemory)", "c.options.Counters.LateResponses.Add(1)", nil, false},
 	{"memory of responses on lost connections leaks", "internal/upstream/memory.go", "c.memory.Release(conn.reservedMemory)\n", "c.memory.Release(0)\n", nil, false},
+	{"memory of requests leaks", "internal/node/requests.go", "c.options.RequestMemory.Release(open.reservedMemory)", "c.options.RequestMemory.Release(0)", nil, false},
 	{"malformed commands are not answered", "internal/listener/commands.go", "c.finish(now, conn, EndedBadFraming, effects)\n\tc.notifyWriter(conn, effects)", "", nil, false},
 	{"abandoned attempt is reported as not written", "internal/upstream/abandon.go", "c.dequeue(now, attempt, effects)\n\treturn attempt.possiblyExecuted", "c.dequeue(now, attempt, effects)\n\treturn false", nil, false},
 	{"slow-start budget is ignored", "internal/policy/hotkey.go", "if r.isWarmingUp(srv) {", "if srv == nil {", &knownFault{file: "internal/policy/routing.go", old: "weight := r.slowStartWeight(srv)", new: "weight := 1.0"}, false},
--- a/internal/testbed/simulation/node.go
+++ b/internal/testbed/simulation/node.go
@@ -35,7 +35,8 @@
 	listener          *listener.Core
 	pools             []*pool
 	conns             []*listenerConn // open connections of clients, in the order in which they were accepted
-	responseMemory    *admission.ResponseMemory
+	requestMemory     *admission.MemoryBudget
+	responseMemory    *admission.MemoryBudget
 	timerAt           Time // when the next call of HandleTimers is scheduled; 0 if none is
 	listUpdateAt      Time // time at which the latest list update will be handled, or was handled
 	lastDiscoveryData Time // when the node last received a byte from discovery
@@ -77,7 +78,8 @@
 	for _, entry := range w.system.List().Entries { // the configuration of the new process contains this list
 		w.checker.NodeKnowsStart(n.index, entry.ID, entry.Started)
 	}
-	n.responseMemory = admission.NewResponseMemory(plan.Nodes.MemoryMB << 20 / responseMemoryPart)
+	n.requestMemory = admission.NewMemoryBudget(plan.Nodes.MemoryMB << 20 / requestMemoryPart)
+	n.responseMemory = admission.NewMemoryBudget(plan.Nodes.MemoryMB << 20 / responseMemoryPart)
 	n.startCore()
 	n.startListener()
 	n.core.Start()
@@ -105,7 +107,7 @@
 		Policy:           plan.PolicySettings(n.index),
 		Seed:             plan.Seed*1000 + uint64(n.index*100+n.incarnation),
 		MaxOpenRequests:  plan.Nodes.MaxOpen,
-		MaxRequestBytes:  plan.Nodes.MemoryMB << 20 / requestMemoryPart,
+		RequestMemory:    n.requestMemory,
 		ResponseMemory:   n.responseMemory,
 		MaxClientTimeout: plan.maxDeadline(),
 		InitialList:      n.configuredList(),
@@ -131,6 +133,7 @@
 		IdleTimeout:         time.Minute,
 		CrowdedIdleTimeout:  50 * time.Millisecond,
 		MaxUnsentBytes:      nodes.MemoryMB << 20 / unsentMemoryPart,
+		RequestMemory:       n.requestMemory,
 		ResponseMemory:      n.responseMemory,
 	}
 	n.listener = listener.NewCore(n.now(), n.classNames(), nil, limits, n.counters)
--- a/internal/testbed/simulation/node_faults.go
+++ b/internal/testbed/simulation/node_faults.go
@@ -104,8 +104,8 @@
 // watch after 3 s, and then makes a new call within the longest backoff.
 const maxDiscoverySilence = 9 * time.Second
 
-// checkLeaks checks, long after the last request, that a process no longer retains requests, request ids, attempts or response
-// memory. It also checks that the process has received data from discovery within maxDiscoverySilence.
+// checkLeaks checks, long after the last request, that a process no longer retains requests, request ids, attempts, or memory of
+// requests or responses. It also checks that the process has received data from discovery within maxDiscoverySilence.
 func (n *node) checkLeaks() {
 	if !n.isUp || !n.isAccepting {
 		return
@@ -122,7 +122,7 @@
 			n.world.violation(InvariantNoLeak, "node %d retains %d attempts for %s", n.index, attempts, p.id)
 		}
 	}
-	if used := n.responseMemory.Used(); used != 0 {
-		n.world.violation(InvariantNoLeak, "node %d has not released %d bytes of response memory", n.index, used)
+	if requests, responses := n.requestMemory.Used(), n.responseMemory.Used(); requests != 0 || responses != 0 {
+		n.world.violation(InvariantNoLeak, "node %d has not released %d bytes of request memory and %d of response memory", n.index, requests, responses)
 	}
 }
--- a/internal/upstream/core.go
+++ b/internal/upstream/core.go
@@ -20,7 +20,7 @@
 // Budgets are the resources that the pools of several servers share.
 type Budgets struct {
 	Descriptors *DescriptorBudget
-	Responses   *admission.ResponseMemory // nil is no bound
+	Responses   *admission.MemoryBudget // nil is no bound
 }
 
 // Core manages the connections to one server. It decides which connection carries an attempt, which attempts wait, when a
@@ -33,7 +33,7 @@
 	codec  Codec
 	limits Limits
 	budget *DescriptorBudget
-	memory *admission.ResponseMemory
+	memory *admission.MemoryBudget
 
 	addr       string
 	conns      []*Conn    // established connections
--- a/internal/upstream/core_property_test.go
+++ b/internal/upstream/core_property_test.go
@@ -22,7 +22,7 @@
 	core             *Core
 	limits           Limits
 	budget           *DescriptorBudget
-	memory           *admission.ResponseMemory
+	memory           *admission.MemoryBudget
 	totalDescriptors int
 	now              time.Time
 	isDraining       bool
@@ -42,7 +42,7 @@
 	total, _ := budget.Usage()
 	limits := Limits{ConnectTimeout: time.Second, IdleTimeout: 3 * time.Second, MaxStreams: rapid.IntRange(1, 3).Draw(t, "streams"),
 		MaxConnections: modelMaxConnections, MaxQueued: 3, PipelineWithin: time.Duration(rapid.IntRange(0, 1).Draw(t, "pipeline within")) * time.Second}
-	memory := admission.NewResponseMemory(modelMemory)
+	memory := admission.NewMemoryBudget(modelMemory)
 	return &coreModel{core: NewCore("s", byteCodec{}, limits, Budgets{budget, memory}), limits: limits, budget: budget, memory: memory, totalDescriptors: total,
 		now: time.Unix(1000, 0), ends: map[*Attempt]int{}, fullyWritten: map[*Attempt]bool{}, writesOngoing: map[*Conn]*Attempt{}}
 }
--- a/internal/upstream/memory.go
+++ b/internal/upstream/memory.go
@@ -18,16 +18,16 @@
 	}
 	attempt := conn.pending[0]
 	conn.reservedMemory += attempt.takeReservedMemory()
-	missing, priority := needed-conn.reservedMemory, attempt.memoryPriority()
+	missing, use := needed-conn.reservedMemory, attempt.memoryUse()
 	switch {
 	case missing <= 0:
 		return true
-	case c.memory.Reserve(missing, priority):
+	case c.memory.Reserve(missing, use):
 		conn.reservedMemory += missing
 		conn.mayNotWait = true
 		return true
-	case priority == admission.NextResponse && !conn.mayNotWait:
-		conn.memoryWait = c.memory.Wait(missing, priority, conn.NotifyMemory)
+	case use == admission.NextResponse && !conn.mayNotWait:
+		conn.memoryWait = c.memory.Wait(missing, use, conn.NotifyMemory)
 		conn.mayNotWait = true
 		return false
 	}
@@ -95,8 +95,8 @@
 // the server sends stays in the kernel, and the server waits.
 func (c *Conn) IsWaitingForMemory() bool { return c.memoryWait != nil }
 
-// memoryPriority returns the priority with which memory is reserved for the attempt's response.
-func (a *Attempt) memoryPriority() admission.ResponsePriority {
+// memoryUse returns the use of the memory that is reserved for the attempt's response.
+func (a *Attempt) memoryUse() admission.MemoryUse {
 	if !a.isWanted() || !a.isHealthCheck() && !a.Request.IsNext() {
 		return admission.LaterResponse
 	}
--- a/internal/upstream/memory_test.go
+++ b/internal/upstream/memory_test.go
@@ -31,7 +31,7 @@
 }
 
 // newConnectionWith returns a connection on which attempts for the given requests were written.
-func newConnectionWith(codec upstream.Codec, memory *admission.ResponseMemory, requests ...*request.Request) *connectionWith {
+func newConnectionWith(codec upstream.Codec, memory *admission.MemoryBudget, requests ...*request.Request) *connectionWith {
 	limits := upstream.Limits{ConnectTimeout: time.Second, IdleTimeout: time.Minute, MaxStreams: 8, MaxConnections: 1, MaxQueued: 8}
 	c := &connectionWith{now: time.Unix(1000, 0)}
 	c.core = upstream.NewCore("s", codec, limits, upstream.Budgets{Descriptors: upstream.NewDescriptorBudget(1), Responses: memory})
@@ -101,7 +101,7 @@
 		response string
 	}{{"cache server", resp.Codec{}, respValue(longValue)}, {"origin", origin.Codec{Host: "o"}, httpValue(longValue)}} {
 		t.Run(protocol.name, func(t *testing.T) {
-			memory := admission.NewResponseMemory(testMemory)
+			memory := admission.NewMemoryBudget(testMemory)
 			if !memory.Reserve(testMemory-1000, admission.NextResponse) {
 				t.Fatal("got no memory from an unused budget")
 			}
@@ -129,7 +129,7 @@
 // Guards against a deadlock: a response that has to wait for others of its client's connection never waits for memory, as those
 // may wait for it. Its value is discarded, and the responses behind it on the connection are read.
 func TestLaterResponseWithoutMemoryIsDiscarded(t *testing.T) {
-	memory := admission.NewResponseMemory(testMemory)
+	memory := admission.NewMemoryBudget(testMemory)
 	memory.Reserve(testMemory*3/4, admission.NextResponse)
 	later := &request.Request{Key: []byte("k"), ID: []byte("i")}
 	cancelled := nextRequest()
@@ -147,7 +147,7 @@
 
 // The origin's protocol can't tell the end of a response without its value, so the connection is closed.
 func TestLaterResponseOfTheOriginWithoutMemoryFails(t *testing.T) {
-	memory := admission.NewResponseMemory(testMemory)
+	memory := admission.NewMemoryBudget(testMemory)
 	memory.Reserve(testMemory*3/4, admission.NextResponse)
 	c := newConnectionWith(origin.Codec{Host: "o"}, memory, &request.Request{Key: []byte("k"), ID: []byte("i")})
 	unread := c.receive(httpValue(longValue))
@@ -159,7 +159,7 @@
 
 // Memory that was reserved for a request before it was forwarded is used for its response, also where there is no other.
 func TestReservedMemoryIsUsedForTheResponse(t *testing.T) {
-	memory := admission.NewResponseMemory(testMemory)
+	memory := admission.NewMemoryBudget(testMemory)
 	const reserved = 64 << 10
 	pipelined := &request.Request{Key: []byte("k"), ID: []byte("i")}
 	pipelined.SetReservedMemory(reserved)
@@ -178,7 +178,7 @@
 // A connection that ends gives back its memory and its wait for memory.
 func TestClosedConnectionReleasesMemory(t *testing.T) {
 	for _, isWaiting := range []bool{false, true} {
-		memory := admission.NewResponseMemory(testMemory)
+		memory := admission.NewMemoryBudget(testMemory)
 		if isWaiting {
 			memory.Reserve(testMemory, admission.NextResponse)
 		}
--- a/tests/memory_test.go
+++ b/tests/memory_test.go
@@ -75,11 +75,21 @@
 	return fmt.Sprintf("%d served, %d rejected, %d failed, %d missing", a.served.Load(), a.rejected.Load(), a.failed.Load(), a.missing.Load())
 }
 
-// checkMemoryIsReleased fails the test unless the node gives back all memory that it has reserved for responses.
+// checkOrdinaryRequests fails the test unless nine tenths of the requests of ordinary clients were served.
+func checkOrdinaryRequests(t *testing.T, sent, served int64) {
+	t.Helper()
+	if served < sent*9/10 {
+		t.Errorf("%d of %d ordinary requests were served, want nine tenths", served, sent)
+	}
+}
+
+// checkMemoryIsReleased fails the test unless the node gives back all memory that it has reserved for requests and responses.
 func checkMemoryIsReleased(node *harness.Node) {
 	observer := node.NewObserver()
 	defer observer.Close()
-	node.WaitFor("all response memory is released", func() bool { return observer.Counter("memory_responses_reserved_bytes") == 0 })
+	for _, gauge := range []string{"memory_requests_reserved_bytes", "memory_responses_reserved_bytes"} {
+		node.WaitFor(gauge+" is 0", func() bool { return observer.Counter(gauge) == 0 })
+	}
 }
 
 // Guards against a node that is killed for lack of memory because clients send hundreds of reads of long values at once and read
@@ -95,12 +105,69 @@
 	sent, served := sendOrdinaryRequests(node)
 	clientsRunning.Wait()
 	t.Logf("peak memory %d kB; %d of %d ordinary requests served; pipelined reads: %s", node.PeakMemory(), served, sent, &pipelined)
-	if served < sent*9/10 {
-		t.Errorf("%d of %d ordinary requests were served, want nine tenths", served, sent)
-	}
+	checkOrdinaryRequests(t, sent, served)
 	if pipelined.failed.Load()+pipelined.missing.Load() > 0 || pipelined.served.Load() < clients*commandsAtOnce*9/10 {
 		t.Errorf("pipelined reads: %s; want nine tenths of %d served, none failed and none missing", &pipelined, clients*commandsAtOnce)
 	}
 	node.CheckPeakMemory(memoryMB)
 	checkMemoryIsReleased(node)
 }
+
+// longWriteSize is the size of the values in tests of writes, in bytes: the largest that is allowed.
+const longWriteSize = 64 << 10
+
+// longWrite returns the bytes of a write of a long value.
+func longWrite(key, id string) []byte {
+	return respcmd.Append(nil, "CACHE.SET", key, id, "c=put,d=14900,k="+id, strings.Repeat("w", longWriteSize))
+}
+
+// Guards against a node that is killed for lack of memory because many clients write long values at once: the bytes of a command
+// are bounded from when they are read, not only once the command is complete and the event loop has taken it.
+func TestWritesOfLongValuesStayWithinMemory(t *testing.T) {
+	const memoryMB, clients, writes = 64, 450, 4
+	node := memoryNode(t, memoryMB, 1024)
+	var written answerTally
+	var clientsRunning sync.WaitGroup
+	for client := range clients {
+		clientsRunning.Go(func() {
+			conn := node.TryDialWithin(harness.Timeout)
+			if conn == nil {
+				written.missing.Add(writes)
+				return
+			}
+			defer func() { _ = conn.Close() }() // all answers have been read, or the connection has failed
+			_ = conn.SetDeadline(time.Now().Add(harness.Timeout))
+			var commands []byte
+			for i := range writes + 1 {
+				commands = append(commands, longWrite("w", fmt.Sprintf("w%d-%d", client, i))...)
+			}
+			go func() { _, _ = conn.Write(commands[:len(commands)-longWriteSize/8]) }() // an error shows as a missing answer
+			written.readAnswers(bufio.NewReader(conn), writes)
+		})
+	}
+	sent, served := sendOrdinaryRequests(node)
+	clientsRunning.Wait()
+	t.Logf("peak memory %d kB; %d of %d ordinary requests served; writes: %s", node.PeakMemory(), served, sent, &written)
+	checkOrdinaryRequests(t, sent, served)
+	if written.failed.Load()+written.missing.Load() > 0 || written.served.Load() < clients*writes*9/10 {
+		t.Errorf("writes: %s; want nine tenths of %d served, none failed and none missing", &written, clients*writes)
+	}
+	node.CheckPeakMemory(memoryMB)
+	checkMemoryIsReleased(node)
+}
+
+// Guards against a node that is killed for lack of memory because many clients send half of a write and stay.
+func TestHalvesOfWritesStayWithinMemory(t *testing.T) {
+	const memoryMB, clients = 64, 500
+	node := memoryNode(t, memoryMB, 1024)
+	for client := range clients {
+		if conn := node.TryDial(); conn != nil {
+			go func() { _, _ = conn.Write(longWrite("w", fmt.Sprint("h", client))[:longWriteSize]) }() // the node may close the connection
+		}
+	}
+	sent, served := sendOrdinaryRequests(node)
+	t.Logf("peak memory %d kB; %d of %d ordinary requests served", node.PeakMemory(), served, sent)
+	checkOrdinaryRequests(t, sent, served)
+	node.CheckPeakMemory(memoryMB)
+	checkMemoryIsReleased(node)
+}
