Do not count the time in which a connection is not read as silence of its client

Change: admission.ConnectionTable.ReadingPaused takes a connection out of the queues of idle ones, and ReadingResumed gives its client as long for the rest of the command as if its first part had come now.

TestConnectionThatWaitsForMemoryIsNotSilent fails without ReadingPaused ("the connection is to be closed while it is not read").

--- a/internal/admission/connection_stage.go
+++ b/internal/admission/connection_stage.go
@@ -45,6 +45,7 @@
 	idleSince Time
 	stage     Stage
 	isClosing bool // the connection has been marked for closing, and Closed has not been called yet
+	isUnread  bool // the node does not read the connection for lack of memory
 
 	requests      int
 	lastRequest   Time
--- a/internal/admission/connection_table.go
+++ b/internal/admission/connection_table.go
@@ -70,6 +70,29 @@
 	}
 }
 
+// ReadingPaused records that the node does not read a connection for lack of memory. The connection is not idle until
+// ReadingResumed is called: what its client has sent may be waiting to be read.
+func (t *ConnectionTable) ReadingPaused(id uint64) {
+	if c := t.connections[id]; c != nil {
+		c.isUnread = true
+		c.unlink()
+	}
+}
+
+// ReadingResumed records that a connection is read again. A client that has sent part of a command has as long for the
+// rest as if that part had arrived now.
+func (t *ConnectionTable) ReadingResumed(now Time, id uint64) {
+	c := t.connections[id]
+	if c == nil || !c.isUnread {
+		return
+	}
+	c.isUnread = false
+	if c.openCommands == 0 {
+		c.idleSince = now
+		t.enqueue(c)
+	}
+}
+
 // CommandReceived records a complete command. The connection is not idle until the response is written.
 func (t *ConnectionTable) CommandReceived(now Time, id uint64, kind Command) {
 	c := t.connections[id]
@@ -122,10 +145,11 @@
 	}
 }
 
-// enqueue puts an idle connection into the queue that queueIndex gives, unless the connection is marked for closing.
+// enqueue puts an idle connection into the queue that queueIndex gives, unless the connection is marked for closing or is
+// not read.
 func (t *ConnectionTable) enqueue(c *connection) {
 	c.unlink()
-	if c.isClosing {
+	if c.isClosing || c.isUnread {
 		return
 	}
 	c.stage = c.currentStage()
--- a/internal/listener/command_memory.go
+++ b/internal/listener/command_memory.go
@@ -27,12 +27,15 @@
 			return true
 		}
 		conn.argumentWait = memory.Wait(conn.commands.neededMemory, admission.LongCommand, conn.NotifyMemory)
+		c.table.PartialCommand(c.tableTime(now), conn.id)
+		c.table.ReadingPaused(conn.id)
 	}
 	if !conn.argumentWait.IsGranted() {
 		return false
 	}
 	conn.argumentWait, conn.argumentSince = nil, now
 	conn.commands.memoryReserved()
+	c.table.ReadingResumed(c.tableTime(now), conn.id)
 	return true
 }
 
@@ -44,6 +47,7 @@
 		switch age := now.Sub(conn.argumentSince); {
 		case conn.isWaitingForArgument() && age >= maxMemoryWait:
 			c.discardArgument(conn)
+			c.table.ReadingResumed(c.tableTime(now), conn.id)
 			effects.add(ResumeReading, conn, nil)
 		case conn.commands.isReadingLongArgument() && isMemoryShort && age >= maxArgumentTime:
 			c.discardArgument(conn)
--- a/internal/listener/command_memory_test.go
+++ b/internal/listener/command_memory_test.go
@@ -136,6 +136,28 @@
 	}
 }
 
+// Guards against the loss of a write that its client has sent: the time in which the node does not read a connection, for lack of
+// memory, does not count as silence of the client.
+func TestConnectionThatWaitsForMemoryIsNotSilent(t *testing.T) {
+	w := newWritingCore()
+	w.table = admission.NewConnectionTable(connectionPolicy(Limits{MaxConnections: 64, FirstCommandTimeout: maxMemoryWait / 2,
+		CrowdedIdleTimeout: time.Minute, IdleTimeout: time.Minute}))
+	w.send(longWrite("first"))
+	w.send(longWrite("second"))
+	waiting := w.send(longWrite("waiting"))
+	for range 3 {
+		w.passTime(maxMemoryWait / 4)
+	}
+	if waiting.closeAfterResponses || waiting.IsClosed() {
+		t.Error("the connection is to be closed while it is not read, want it kept")
+	}
+	w.passTime(maxMemoryWait / 4)
+	if w.requests["waiting"] == nil || waiting.closeAfterResponses || waiting.IsClosed() {
+		t.Errorf("request handed over: %v, connection to be closed: %v; want the request and the connection kept", w.requests["waiting"] != nil,
+			waiting.closeAfterResponses)
+	}
+}
+
 // A connection that ends gives back the memory of a partial command, and its place among those that wait.
 func TestClosedConnectionReleasesCommandMemory(t *testing.T) {
 	w := newWritingCore()
--- a/internal/listener/commands.go
+++ b/internal/listener/commands.go
@@ -32,7 +32,6 @@
 			if c.reserveArgument(now, conn) {
 				continue
 			}
-			c.table.PartialCommand(c.tableTime(now), conn.id)
 			conn.isPaused = true
 			return
 		case errors.Is(err, errNeedMoreBytes):
