Keep no response in memory that was written, for an idle connection or a late attempt

Cause: listener.Core.WriteCompleted kept the rest of the slots by append(conn.slots[:0:0], rest...). Where nothing is left that is a slice of the old array, of length 0, and the array keeps all responses of the last write, up to 32 values of 64 KiB, until the next command of the connection. Two more places of the same kind: a request whose attempt is still in flight refers to its slot, and so to the value that was written (Request.Reply); and the origin's decoder kept a reader of the buffer that it had handed over.

Change: a new array; releaseSlots drops the values; the reader is reset. Looked for at the other queues and lists that outlive their elements (intake, pending and waiting attempts, effects, timers): those clear what they take off.

TestWrittenResponseIsNotKept and TestDecodersKeepNoValue fail without any one of the three changes, by a weak pointer to the value.

--- a/internal/listener/pipelining.go
+++ b/internal/listener/pipelining.go
@@ -63,11 +63,12 @@
 	conn.reservedMemory = 0
 }
 
-// releaseSlots gives back the memory of responses that are written, or whose connection has ended.
+// releaseSlots gives back the memory of responses that are written, or whose connection has ended. Their values are dropped, as a
+// request whose last attempt is still in flight refers to its slot.
 func (c *Core) releaseSlots(slots []*ResponseSlot) {
 	for _, slot := range slots {
 		c.limits.ResponseMemory.Release(slot.reservedMemory)
-		slot.reservedMemory = 0
+		slot.reservedMemory, slot.prefix, slot.value = 0, nil, nil
 		if slot.request != nil {
 			c.limits.ResponseMemory.Release(slot.request.TakeReservedMemory())
 		}
--- a/internal/listener/pipelining_test.go
+++ b/internal/listener/pipelining_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
+	"weak"
 
 	"shelfproxy/internal/admission"
 	"shelfproxy/internal/request"
@@ -17,6 +19,9 @@
 	return commands
 }
 
+// pipeliningMemory is the response memory in these tests, in bytes. Half of it is for two pipelined responses of unknown length.
+const pipeliningMemory = 4 * 66 << 10
+
 // pipeliningCore is a core with a bound on responses, the requests that it has handed over, and the connections to resume.
 type pipeliningCore struct {
 	*Core
@@ -26,8 +31,8 @@
 	effects  Effects
 }
 
-func newPipeliningCore(memoryBytes int) *pipeliningCore {
-	memory := admission.NewMemoryBudget(memoryBytes)
+func newPipeliningCore() *pipeliningCore {
+	memory := admission.NewMemoryBudget(pipeliningMemory)
 	now := time.Unix(1000, 0)
 	p := &pipeliningCore{memory: memory, now: now}
 	p.Core = newTestCore(now, Limits{MaxConnections: 64, MaxPipelined: 32, MaxValue: 64 << 10, FirstCommandTimeout: time.Minute,
@@ -83,7 +88,7 @@
 // is reserved. The first command of a connection never waits, and all commands are handed over in the end.
 func TestPipelinedCommandsWaitForResponseMemory(t *testing.T) {
 	const commands, length = 20, 60 << 10
-	p := newPipeliningCore(4 * 66 << 10) // half of it is for two pipelined responses of unknown length
+	p := newPipeliningCore()
 	first, second := p.accept(), p.accept()
 	p.receive(first, pipelinedReads(commands))
 	if len(p.requests) != 3 || !first.IsPaused() {
@@ -109,7 +114,7 @@
 // reserved for a response follows the lengths of those before.
 func TestShortResponsesLetMoreCommandsBePipelined(t *testing.T) {
 	const commands = 31
-	p := newPipeliningCore(4 * 66 << 10)
+	p := newPipeliningCore()
 	conn := p.accept()
 	p.receive(conn, pipelinedReads(commands))
 	for range 6 {
@@ -122,7 +127,7 @@
 
 // A connection that ends gives back what is reserved for its responses, written or not, and its place among those that wait.
 func TestClosedConnectionReleasesResponseMemory(t *testing.T) {
-	p := newPipeliningCore(4 * 66 << 10)
+	p := newPipeliningCore()
 	first, second := p.accept(), p.accept()
 	p.receive(first, pipelinedReads(5))
 	p.receive(second, pipelinedReads(5))
@@ -139,3 +144,24 @@
 		t.Errorf("%d bytes are reserved after all connections ended, want 0", p.memory.Used())
 	}
 }
+
+// Guards against responses that stay in memory after they were written, for as long as their connection is idle, or an attempt for
+// their request is in flight.
+func TestWrittenResponseIsNotKept(t *testing.T) {
+	p := newPipeliningCore()
+	conn := p.accept()
+	p.receive(conn, pipelinedReads(1))
+	value := make([]byte, 60<<10)
+	kept := weak.Make(&value[0])
+	p.requests[0].Reply(request.Response{Kind: request.Served, Value: value})
+	p.carryOut()
+	p.effects, value = nil, nil
+	for range 10 { // a value that is not referenced may survive the first collection
+		runtime.GC()
+		if kept.Value() == nil {
+			return
+		}
+	}
+	t.Errorf("the response is kept in memory after it was written; the connection has %d responses to write, %d requests are known",
+		len(conn.slots), len(p.requests))
+}
--- a/internal/listener/responses.go
+++ b/internal/listener/responses.go
@@ -101,7 +101,7 @@
 	// The slots are removed only after the write: a connection with slots is not idle, so it is not closed during the write.
 	unsentBytes := unsentResponseBytes(conn.slots[:written])
 	c.releaseSlots(conn.slots[:written])
-	conn.slots = append(conn.slots[:0:0], conn.slots[written:]...)
+	conn.slots = append([]*ResponseSlot(nil), conn.slots[written:]...) // a slice of the old array would keep the written responses in memory
 	if len(conn.slots) > 0 && conn.slots[0].request != nil {
 		conn.slots[0].request.MarkNext()
 	}
--- a/internal/testbed/simulation/known_faults_test.go
+++ b/internal/testbed/simulation/known_faults_test.go
@@ -28,7 +28,7 @@
 	{"draining servers get new requests", "internal/policy/server.go", "return !r.isOriginKind(srv) && srv.isListed && srv.State == Live", "return !r.isOriginKind(srv) && srv.isListed",
 		&knownFault{file: "internal/upstream/core.go", old: "c.addr, c.isDraining = addr, isDraining", new: "isDraining = false\n\tc.addr, c.isDraining = addr, isDraining"}, false},
 	{"silent watch is not detected", "internal/discovery/polling/schedule.go", "WatchTimeout = 3 * time.Second", "WatchTimeout = 5 * time.Hour", nil, false},
-	{"request is answered twice", "internal/listener/responses.go", "conn.slots = append(conn.slots[:0:0], conn.slots[written:]...)", "conn.slots = append(conn.slots[:0:0], conn.slots[written-1:]...)", nil, false},
+	{"request is answered twice", "internal/listener/responses.go", "conn.slots = append([]*ResponseSlot(nil), conn.slots[written:]...)", "conn.slots = append([]*ResponseSlot(nil), conn.slots[written-1:]...)", nil, false},
 	{"deadline is too late", "internal/node/requests.go", "deadline: r.ReceivedAt.Add(max(timeout-clientTransitTime, minRequestTimeout))", "deadline: r.ReceivedAt.Add(timeout + 200*time.Millisecond)", nil, false},
 	{"connection with stray bytes is reused", "internal/upstream/transfer.go", "case conn.Decoder.Buffered() > 0 && !conn.mayReceive():", "case conn == nil:",
 		&knownFault{file: "internal/upstream/transfer.go", old: "if !conn.mayReceive() {", new: "if len(conn.pending) == 0 {",
--- a/internal/upstream/decoder_test.go
+++ b/internal/upstream/decoder_test.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
+	"weak"
 
 	"shelfproxy/internal/upstream"
 	"shelfproxy/internal/upstream/origin"
@@ -120,3 +122,37 @@
 		})
 	}
 }
+
+// Guards against values that stay in memory for as long as the connection on which they arrived is idle.
+func TestDecodersKeepNoValue(t *testing.T) {
+	for _, protocol := range decoderProtocols {
+		decoder := protocol.newCodec(testMaxResponse).NewDecoder()
+		kept := receiveWeakly(t, decoder, protocol.encode(strings.Repeat("v", 70<<10)))
+		for range 10 { // a value that is not referenced may survive the first collection
+			runtime.GC()
+		}
+		if kept.Value() != nil {
+			t.Errorf("%s: the decoder keeps a value that it has returned, want it free", protocol.name)
+		}
+		runtime.KeepAlive(decoder)
+	}
+}
+
+// receiveWeakly passes a response to the decoder and returns a weak pointer to its value.
+func receiveWeakly(t *testing.T, decoder upstream.Decoder, text string) weak.Pointer[byte] {
+	t.Helper()
+	for text != "" {
+		n := copy(decoder.ReadBuffer(), text)
+		text = text[n:]
+		decoder.BytesRead(n)
+		response, ok, err := decoder.NextResponse(false)
+		if err != nil {
+			t.Fatalf("got error %v, want none", err)
+		}
+		if ok {
+			return weak.Make(&response.Value[0])
+		}
+	}
+	t.Fatal("got no response, want one")
+	return weak.Pointer[byte]{}
+}
--- a/internal/upstream/origin/decoder.go
+++ b/internal/upstream/origin/decoder.go
@@ -115,6 +115,7 @@
 	}
 	d.end = copy(d.buffer, rest)
 	d.isBufferTaken = false
+	d.input.Reset(nil) // it would keep the buffer that was replaced in memory
 }
 
 // responseOf converts an HTTP response to an upstream.Response.
