Bound the answers that the listener makes itself until they are written

Callers saw: 450 clients that send PINGs of 64 KiB and read nothing bring a node of 64 MB to 211, 270 and 340 MB, and 0, 215 and 0 of 320 requests of ordinary clients are served meanwhile (TestUnreadEchoesStayWithinMemory on, which fails).

Change: an answer of a bulk string takes response memory until it is written, from what was reserved for the pipelined command if it was pipelined; a long echo keeps the memory of its command instead, without a copy. Without memory the command is answered -BUSY. All unsent bytes count against the bound for clients that read nothing.

--- a/internal/listener/command_memory_test.go
+++ b/internal/listener/command_memory_test.go
@@ -170,3 +170,20 @@
 		t.Errorf("%d bytes are reserved and %d connections are known to read long arguments, want none", w.memory.Used(), len(w.longArguments))
 	}
 }
+
+// A long echo keeps the memory of its command until it is written.
+func TestLongEchoKeepsTheMemoryOfItsCommand(t *testing.T) {
+	w := newWritingCore()
+	conn := w.send(fmt.Sprintf("*2\r\n$4\r\nPING\r\n$%d\r\n%s\r\n", longWriteSize, strings.Repeat("e", longWriteSize)))
+	if got := w.memory.Used(); got != longWriteSize {
+		t.Errorf("%d bytes are reserved while the echo is unsent, want %d", got, longWriteSize)
+	}
+	var effects Effects
+	if _, size := w.NextToWrite(w.now, conn, nil); size < longWriteSize {
+		t.Fatalf("got %d bytes to write, want the echo", size)
+	}
+	w.WriteCompleted(w.now, conn, true, &effects)
+	if got := w.memory.Used(); got != 0 {
+		t.Errorf("%d bytes are reserved once the echo is written, want 0", got)
+	}
+}
--- a/internal/listener/commands.go
+++ b/internal/listener/commands.go
@@ -52,7 +52,7 @@
 // framing.
 func (c *Core) rejectFraming(now time.Time, conn *Conn, err error, effects *Effects) {
 	c.count.BadFraming.Add(1)
-	conn.slots = append(conn.slots, &ResponseSlot{isReady: true, prefix: errorResponse(err)})
+	c.addAnswer(conn, &ResponseSlot{isReady: true, prefix: errorResponse(err)})
 	conn.isPaused, conn.isFramingBroken = true, true
 	c.finish(now, conn, EndedBadFraming, effects)
 	c.notifyWriter(conn, effects)
@@ -69,25 +69,29 @@
 		return
 	}
 	c.dispatchOther(now, conn, received, effects)
-	c.limits.RequestMemory.Release(received.reservedMemory)
 }
 
 // dispatchOther answers a command that is no request.
 func (c *Core) dispatchOther(now time.Time, conn *Conn, received command, effects *Effects) {
 	arguments := len(received.args) - 1
+	if isCommand(received.args[0], "PING") && arguments == 1 && received.reservedMemory > 0 {
+		c.echoLong(now, conn, received, effects)
+		return
+	}
+	c.limits.RequestMemory.Release(received.reservedMemory)
 	switch name := received.args[0]; {
 	case isCommand(name, "PING") && arguments == 0:
-		c.answer(now, conn, admission.CommandOther, redcon.AppendString(nil, "PONG"), effects)
+		c.answer(now, conn, redcon.AppendString(nil, "PONG"), effects)
 	case isCommand(name, "PING") && arguments == 1 && received.isIncomplete:
-		c.answer(now, conn, admission.CommandOther, busyResponse, effects)
+		c.answer(now, conn, busyResponse, effects)
 	case isCommand(name, "PING") && arguments == 1:
-		c.answer(now, conn, admission.CommandOther, redcon.AppendBulk(nil, received.args[1]), effects)
+		c.answerWithValue(now, conn, received.args[1], effects)
 	case isCommand(name, "INFO"):
-		c.answer(now, conn, admission.CommandOther, redcon.AppendBulkString(nil, c.count.String()), effects)
+		c.answerWithValue(now, conn, []byte(c.count.String()), effects)
 	case isCommand(name, "CLIENT"), isCommand(name, "SELECT"):
-		c.answer(now, conn, admission.CommandOther, redcon.AppendOK(nil), effects)
+		c.answer(now, conn, redcon.AppendOK(nil), effects)
 	case isCommand(name, "QUIT"):
-		c.answer(now, conn, admission.CommandOther, redcon.AppendOK(nil), effects)
+		c.answer(now, conn, redcon.AppendOK(nil), effects)
 		c.finish(now, conn, EndedByQuit, effects)
 	default:
 		c.rejectCommand(now, conn, errUnknownCommand, effects)
@@ -120,17 +124,45 @@
 	effects.add(HandleRequest, conn, r)
 }
 
-// answer responds to a command without the handler.
-func (c *Core) answer(now time.Time, conn *Conn, kind admission.Command, response []byte, effects *Effects) {
-	c.table.CommandReceived(c.tableTime(now), conn.id, kind)
-	conn.slots = append(conn.slots, &ResponseSlot{isReady: true, prefix: response})
+// answer responds to a valid command without the handler.
+func (c *Core) answer(now time.Time, conn *Conn, response []byte, effects *Effects) {
+	c.table.CommandReceived(c.tableTime(now), conn.id, admission.CommandOther)
+	c.addAnswer(conn, &ResponseSlot{isReady: true, prefix: response})
+	c.notifyWriter(conn, effects)
+}
+
+// answerWithValue responds to a valid command with a bulk string, without the handler. Like the response to a request, a bulk string
+// takes response memory until it is written; without memory the command is rejected.
+func (c *Core) answerWithValue(now time.Time, conn *Conn, value []byte, effects *Effects) {
+	if !c.reserveAnswer(conn, len(value)) {
+		c.answer(now, conn, busyResponse, effects)
+		return
+	}
+	c.table.CommandReceived(c.tableTime(now), conn.id, admission.CommandOther)
+	c.addAnswer(conn, &ResponseSlot{isReady: true, prefix: bulkPrefix(value), value: value, reservedMemory: len(value)})
+	c.notifyWriter(conn, effects)
+}
+
+// echoLong responds to a PING with a long argument. The argument keeps its memory until it is written.
+func (c *Core) echoLong(now time.Time, conn *Conn, received command, effects *Effects) {
+	argument := received.args[1]
+	c.table.CommandReceived(c.tableTime(now), conn.id, admission.CommandOther)
+	c.addAnswer(conn, &ResponseSlot{isReady: true, prefix: bulkPrefix(argument), value: argument, commandMemory: received.reservedMemory})
 	c.notifyWriter(conn, effects)
 }
 
 // rejectCommand responds to an invalid command.
 func (c *Core) rejectCommand(now time.Time, conn *Conn, err error, effects *Effects) {
 	c.count.Malformed.Add(1)
-	c.answer(now, conn, admission.CommandInvalid, errorResponse(err), effects)
+	c.table.CommandReceived(c.tableTime(now), conn.id, admission.CommandInvalid)
+	c.addAnswer(conn, &ResponseSlot{isReady: true, prefix: errorResponse(err)})
+	c.notifyWriter(conn, effects)
+}
+
+// addAnswer adds a response that is ready.
+func (c *Core) addAnswer(conn *Conn, slot *ResponseSlot) {
+	conn.slots = append(conn.slots, slot)
+	c.table.ResponseReady(conn.id, slot.size())
 }
 
 // errorResponse returns the RESP2 error that reports err to a client. The error texts are part of the wire format.
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -114,6 +114,7 @@
 	value     []byte // written after prefix and followed by CRLF; nil if prefix is the whole response; not copied
 
 	reservedMemory int // bytes of response memory that hold value
+	commandMemory  int // bytes of request memory that hold value, if it is an argument of the command
 }
 
 func (s *ResponseSlot) size() int { return len(s.prefix) + len(s.value) }
--- a/internal/listener/pipelining.go
+++ b/internal/listener/pipelining.go
@@ -53,6 +53,22 @@
 	return true
 }
 
+// reserveAnswer reserves the memory for a response of the listener itself, which is ready at once. It uses what reserveForNext has
+// reserved, and gives the rest of that back.
+func (c *Core) reserveAnswer(conn *Conn, size int) bool {
+	use := admission.LaterResponse
+	if len(conn.slots) == 0 {
+		use = admission.NextResponse
+	}
+	missing := max(0, size-conn.reservedMemory)
+	if !c.limits.ResponseMemory.Reserve(missing, use) {
+		return false
+	}
+	conn.reservedMemory += missing - size
+	c.releaseForNext(conn)
+	return true
+}
+
 // releaseForNext gives back what reserveForNext has reserved, and ends the wait.
 func (c *Core) releaseForNext(conn *Conn) {
 	if conn.memoryWait != nil {
@@ -68,7 +84,8 @@
 func (c *Core) releaseSlots(slots []*ResponseSlot) {
 	for _, slot := range slots {
 		c.limits.ResponseMemory.Release(slot.reservedMemory)
-		slot.reservedMemory, slot.prefix, slot.value = 0, nil, nil
+		c.limits.RequestMemory.Release(slot.commandMemory)
+		slot.reservedMemory, slot.commandMemory, slot.prefix, slot.value = 0, 0, nil, nil
 		if slot.request != nil {
 			c.limits.ResponseMemory.Release(slot.request.TakeReservedMemory())
 		}
--- a/internal/listener/pipelining_test.go
+++ b/internal/listener/pipelining_test.go
@@ -1,8 +1,10 @@
 package listener
 
 import (
+	"bytes"
 	"fmt"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 	"weak"
@@ -145,6 +147,28 @@
 	}
 }
 
+// Responses that the listener makes itself take memory until they are written, and commands are rejected where there is none: a
+// client that reads nothing could ask for any number of them.
+func TestAnswersOfTheListenerTakeResponseMemory(t *testing.T) {
+	p := newPipeliningCore()
+	conn := p.Accepted(p.now, p.now)
+	echo := fmt.Sprintf("*2\r\n$4\r\nPING\r\n$%d\r\n%s\r\n", 3000, strings.Repeat("e", 3000))
+	p.BytesReceived(p.now, conn, copy(conn.ReadBuffer(), echo+"*1\r\n$4\r\nINFO\r\n"), &p.effects)
+	info := len(p.count.String())
+	if got, want := p.memory.Used(), 3000+info; got != want {
+		t.Errorf("%d bytes are reserved while an echo and the counters are unsent, want %d", got, want)
+	}
+	p.carryOut()
+	if got := p.memory.Used(); got != 0 {
+		t.Errorf("%d bytes are reserved once the responses are written, want 0", got)
+	}
+	p.memory.Reserve(pipeliningMemory, admission.NextResponse)
+	p.BytesReceived(p.now, conn, copy(conn.ReadBuffer(), echo), &p.effects)
+	if responses, _ := p.NextToWrite(p.now, conn, nil); string(bytes.Join(responses, nil)) != "-BUSY\r\n" {
+		t.Errorf("got %q to an echo without memory, want it rejected", responses)
+	}
+}
+
 // Guards against responses that stay in memory after they were written, for as long as their connection is idle, or an attempt for
 // their request is in flight.
 func TestWrittenResponseIsNotKept(t *testing.T) {
--- a/internal/listener/responses.go
+++ b/internal/listener/responses.go
@@ -38,8 +38,7 @@
 func encodeResponse(response request.Response) (prefix, value []byte) {
 	switch response.Kind {
 	case request.Served:
-		prefix = append(strconv.AppendInt([]byte{'$'}, int64(len(response.Value)), 10), crlf...)
-		return prefix, response.Value
+		return bulkPrefix(response.Value), response.Value
 	case request.Rejected:
 		if ms := response.RetryAfter.Milliseconds(); ms > 0 {
 			return redcon.AppendError(nil, "BUSY "+strconv.FormatInt(ms, 10)), nil
@@ -53,6 +52,11 @@
 	return nil, nil
 }
 
+// bulkPrefix returns the bytes ahead of a value in its RESP2 encoding as a bulk string.
+func bulkPrefix(value []byte) []byte {
+	return append(strconv.AppendInt([]byte{'$'}, int64(len(value)), 10), crlf...)
+}
+
 // notifyWriter asks the shell to write responses if the first pending response is ready and no write is in progress.
 func (c *Core) notifyWriter(conn *Conn, effects *Effects) {
 	if conn.hasResponseToWrite() {
@@ -99,7 +103,7 @@
 		return
 	}
 	// The slots are removed only after the write: a connection with slots is not idle, so it is not closed during the write.
-	unsentBytes := unsentResponseBytes(conn.slots[:written])
+	unsentBytes := responseBytes(conn.slots[:written])
 	c.releaseSlots(conn.slots[:written])
 	conn.slots = append([]*ResponseSlot(nil), conn.slots[written:]...) // a slice of the old array would keep the written responses in memory
 	if len(conn.slots) > 0 && conn.slots[0].request != nil {
@@ -117,13 +121,10 @@
 	c.notifyWriter(conn, effects)
 }
 
-// unsentResponseBytes returns the bytes that Respond added to the unsent bytes for these slots. Only responses to requests were
-// added.
-func unsentResponseBytes(slots []*ResponseSlot) (bytes int) {
+// responseBytes returns the bytes of the responses in these slots.
+func responseBytes(slots []*ResponseSlot) (bytes int) {
 	for _, slot := range slots {
-		if slot.isRequest {
-			bytes += slot.size()
-		}
+		bytes += slot.size()
 	}
 	return bytes
 }
--- a/tests/memory_test.go
+++ b/tests/memory_test.go
@@ -19,13 +19,16 @@
 // patientExtras holds the extra parameters of a read whose client waits for nearly patientDeadline.
 const patientExtras = "c=read,d=14900"
 
-// memoryNode returns a node with the given limit of memory, in front of three cache servers that return a long value for bigKey.
-// It runs without the race detector, so that its memory can be compared with the limit.
-func memoryNode(t *testing.T, memoryMB, descriptors int) *harness.Node {
+// memoryLimit is the nodes' limit of memory in these tests, in MB.
+const memoryLimit = 64
+
+// memoryNode returns a node in front of three cache servers that return a long value for bigKey. It runs without the race detector,
+// so that its memory can be compared with the limit.
+func memoryNode(t *testing.T, descriptors int) *harness.Node {
 	t.Helper()
 	node := harness.NewNode(t, bigValueServer(t), bigValueServer(t), bigValueServer(t))
 	node.Program = harness.UninstrumentedNodeProgram(t)
-	node.Config.Limits = harness.Limits{Cores: 1, MemoryMB: memoryMB, Sockets: descriptors}
+	node.Config.Limits = harness.Limits{Cores: 1, MemoryMB: memoryLimit, Sockets: descriptors}
 	node.SetDeadlines(patientDeadline)
 	return node.Start()
 }
@@ -95,8 +98,8 @@
 // Guards against a node that is killed for lack of memory because clients send hundreds of reads of long values at once and read
 // all answers: values are bounded until they are written to their clients, not only until they have arrived from the server.
 func TestPipelinedReadsOfLongValuesStayWithinMemory(t *testing.T) {
-	const memoryMB, clients, commandsAtOnce = 64, 120, 100
-	node := memoryNode(t, memoryMB, 384)
+	const clients, commandsAtOnce = 120, 100
+	node := memoryNode(t, 384)
 	var pipelined answerTally
 	var clientsRunning sync.WaitGroup
 	for client := range clients {
@@ -109,7 +112,7 @@
 	if pipelined.failed.Load()+pipelined.missing.Load() > 0 || pipelined.served.Load() < clients*commandsAtOnce*9/10 {
 		t.Errorf("pipelined reads: %s; want nine tenths of %d served, none failed and none missing", &pipelined, clients*commandsAtOnce)
 	}
-	node.CheckPeakMemory(memoryMB)
+	node.CheckPeakMemory(memoryLimit)
 	checkMemoryIsReleased(node)
 }
 
@@ -124,8 +127,8 @@
 // Guards against a node that is killed for lack of memory because many clients write long values at once: the bytes of a command
 // are bounded from when they are read, not only once the command is complete and the event loop has taken it.
 func TestWritesOfLongValuesStayWithinMemory(t *testing.T) {
-	const memoryMB, clients, writes = 64, 450, 4
-	node := memoryNode(t, memoryMB, 1024)
+	const clients, writes = 450, 4
+	node := memoryNode(t, 1024)
 	commandsOf := make([][]byte, clients) // made ahead, so that the clients send at the same time
 	for client := range commandsOf {
 		for i := range writes + 1 {
@@ -154,14 +157,14 @@
 	if written.failed.Load()+written.missing.Load() > 0 || written.served.Load() < clients*writes*9/10 {
 		t.Errorf("writes: %s; want nine tenths of %d served, none failed and none missing", &written, clients*writes)
 	}
-	node.CheckPeakMemory(memoryMB)
+	node.CheckPeakMemory(memoryLimit)
 	checkMemoryIsReleased(node)
 }
 
 // Guards against a node that is killed for lack of memory because many clients send half of a write and stay.
 func TestHalvesOfWritesStayWithinMemory(t *testing.T) {
-	const memoryMB, clients = 64, 500
-	node := memoryNode(t, memoryMB, 1024)
+	const clients = 500
+	node := memoryNode(t, 1024)
 	for client := range clients {
 		if conn := node.TryDial(); conn != nil {
 			go func() { _, _ = conn.Write(longWrite("w", fmt.Sprint("h", client))[:longWriteSize]) }() // the node may close the connection
@@ -170,6 +173,27 @@
 	sent, served := sendOrdinaryRequests(node)
 	t.Logf("peak memory %d kB; %d of %d ordinary requests served", node.PeakMemory(), served, sent)
 	checkOrdinaryRequests(t, sent, served)
-	node.CheckPeakMemory(memoryMB)
+	node.CheckPeakMemory(memoryLimit)
 	checkMemoryIsReleased(node)
 }
+
+// Guards against a node that is killed for lack of memory, or serves nobody, because of responses that it makes itself, for clients
+// that read none of them.
+func TestUnreadEchoesStayWithinMemory(t *testing.T) {
+	const clients, echoes = 450, 100
+	node := memoryNode(t, 1024)
+	echo := respcmd.Append(nil, "PING", strings.Repeat("e", longWriteSize))
+	for range clients {
+		if conn := node.TryDial(); conn != nil {
+			go func() {
+				for range echoes {
+					_, _ = conn.Write(echo) // fails once the node has closed the connection
+				}
+			}()
+		}
+	}
+	sent, served := sendOrdinaryRequests(node)
+	t.Logf("peak memory %d kB; %d of %d ordinary requests served", node.PeakMemory(), served, sent)
+	checkOrdinaryRequests(t, sent, served)
+	node.CheckPeakMemory(memoryLimit)
+}
