Size the memory for requests and responses by what connections leave

Callers saw: a node of 32 MB with 1,024 descriptors that are taken is over its limit still when 450 clients write long values at once.

Cause: a quarter of the limit each for requests and responses (daemon/sizing.go) takes nothing off for the program and its connections. Measured, resident: 10.9 MB without clients (9.2 of it the program's file), 13.8 with 100 idle ones, 21.9 with 450: 24 KB each.

Change: 24 MB are left aside; three eighths of the rest are for requests (15 of 64 MB, it was 16) and two for responses (10, it was 16), 4 and 2 MB at least. The longest response that is accepted fits a quarter of the memory for responses, which is always left for the next one (it was 1/32 of the limit).

--- a/internal/daemon/sizing.go
+++ b/internal/daemon/sizing.go
@@ -9,18 +9,25 @@
 	"shelfproxy/internal/upstream"
 )
 
-// Divisors of the node's memory. Each use below may take the node's memory divided by its divisor.
+// What the process takes beside requests and responses: its program, the runtime, and the connections that its descriptors allow.
+const fixedMemoryMB = 24
+
+// Fractions of the memory that is left, in eighths, for what grows with the load. The smallest nodes get the minima.
 const (
-	requestMemoryDivisor  = 4  // requests that are not answered yet
-	responseMemoryDivisor = 4  // responses, from when they arrive from servers until they are written to clients
-	unsentMemoryDivisor   = 8  // responses that are being written, past which clients that read nothing are disconnected
-	maxResponseDivisor    = 32 // one response; longer ones are refused, such as a length of 3 GB from a faulty server
+	requestMemoryEighths  = 3 // requests that are not answered yet
+	responseMemoryEighths = 2 // responses, from when they arrive from servers until they are written to clients
+	minRequestMemoryMB    = 4
+	minResponseMemoryMB   = 2
 )
 
+// unsentMemoryDivisor gives the part of the memory for responses that may be in writes to clients. Past it, clients that read
+// nothing are disconnected.
+const unsentMemoryDivisor = 2
+
 // Limits of values. The description of the protocol limits values to 64 KiB, but values of 400 KB occurred in test runs.
 const (
-	maxValueBytes    = 64 << 10 // maximum length of the value that a client writes
-	minResponseBytes = 64 << 10 // length of a server's response that even the smallest node accepts
+	maxValueBytes   = 64 << 10 // maximum length of the value that a client writes
+	maxBufferExtras = 4 << 10  // bytes of the buffer of a long response beside its value
 )
 
 // On each connection, a client may pipeline one command for every memoryMBPerPipelined MB of the node's memory, but at least
@@ -109,18 +116,26 @@
 }
 
 func newMemoryBudgets(cfg *config.Config) memoryBudgets {
-	memory := megabytes(cfg.MemoryMB)
 	return memoryBudgets{
-		requests:  admission.NewMemoryBudget(memory / requestMemoryDivisor),
-		responses: admission.NewMemoryBudget(memory / responseMemoryDivisor),
+		requests:  admission.NewMemoryBudget(requestMemory(cfg)),
+		responses: admission.NewMemoryBudget(responseMemory(cfg)),
 	}
 }
 
-// maxResponse returns the length of the longest response that is accepted from a server, in bytes.
-func maxResponse(cfg *config.Config) int {
-	return max(minResponseBytes, megabytes(cfg.MemoryMB)/maxResponseDivisor)
+// requestMemory returns the memory for requests, in bytes.
+func requestMemory(cfg *config.Config) int {
+	return max(megabytes(minRequestMemoryMB), megabytes(cfg.MemoryMB-fixedMemoryMB)/8*requestMemoryEighths)
 }
 
+// responseMemory returns the memory for responses, in bytes.
+func responseMemory(cfg *config.Config) int {
+	return max(megabytes(minResponseMemoryMB), megabytes(cfg.MemoryMB-fixedMemoryMB)/8*responseMemoryEighths)
+}
+
+// maxResponse returns the length of the longest response that is accepted from a server, in bytes. It fits the quarter of the memory
+// for responses that is always left for the next one, with what its buffer takes beside it.
+func maxResponse(cfg *config.Config) int { return responseMemory(cfg)/4 - maxBufferExtras }
+
 // listenerLimits returns the limits of the connections of clients. maxConnections is the maximum number of connections at the
 // start.
 func listenerLimits(cfg *config.Config, maxConnections int, memory memoryBudgets) listener.Limits {
@@ -133,7 +148,7 @@
 		FirstCommandTimeout: operator.FirstCommandTimeout.D(),
 		CrowdedIdleTimeout:  operator.CrowdedIdleTimeout.D(),
 		IdleTimeout:         operator.IdleTimeout.D(),
-		MaxUnsentBytes:      megabytes(cfg.MemoryMB) / unsentMemoryDivisor,
+		MaxUnsentBytes:      responseMemory(cfg) / unsentMemoryDivisor,
 		RequestMemory:       memory.requests,
 		ResponseMemory:      memory.responses,
 	}
--- a/internal/testbed/simulation/node.go
+++ b/internal/testbed/simulation/node.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// Divisors of a node's memory, with the values of cmd/shelfproxy. For example, all responses together may use 1/4 of the memory.
+// Divisors of a node's memory. For example, all responses together may use 1/4 of the memory.
 const (
 	responseMemoryPart  = 4
 	longestResponsePart = 32
