Leave a wait for the node's own memory out of what servers are told to have taken

Need: a response that waits for memory since is read late by this node's fault. The policy was told the whole time, so a server could become suspect, by gossip at other nodes too, and the limit of fetches be cut, for a crowd at one node.

Change: the time in which a connection was not read counts for the attempts on it (Attempt.memoryWait, Response.MemoryWait), and node.Core takes it off what it tells the policy. Attempts that end without a response are told whole, as before.

TestWaitForMemoryIsNotBlamedOnTheServer and TestNextResponseWaitsForMemory check it; no run showed the harm, it was found by reading.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"shelfproxy/internal/policy"
 	"shelfproxy/internal/request"
 	"shelfproxy/internal/upstream"
@@ -26,7 +28,7 @@
 		endpoint.inFlight++
 	}
 	if !isInFlight {
-		c.endAttempt(open, attempt, outcome)
+		c.endAttempt(open, attempt, outcome, 0)
 	}
 }
 
@@ -62,7 +64,7 @@
 	if response.Outcome == upstream.Served {
 		c.respond(open, request.Response{Kind: request.Served, Value: response.Value, ReservedMemory: response.ReservedMemory}, causeNone)
 	}
-	c.endAttempt(open, attempt, response.Outcome)
+	c.endAttempt(open, attempt, response.Outcome, response.MemoryWait)
 }
 
 // abandon ends an attempt with the given outcome, without waiting for the pool to report one.
@@ -71,7 +73,7 @@
 	if endpoint != nil && !endpoint.pool.Abandon(attempt) && outcome == upstream.TimedOut {
 		outcome = upstream.NotSent // the attempt waited for a connection all the time
 	}
-	c.endAttempt(open, attempt, outcome)
+	c.endAttempt(open, attempt, outcome, 0)
 }
 
 // withdrawUnwritten is called when the client of a request has disconnected. It ends the attempts for the request of which
@@ -82,13 +84,14 @@
 			continue
 		}
 		if endpoint := c.endpoints[attempt.Server]; endpoint != nil && endpoint.pool.Withdraw(attempt) {
-			c.endAttempt(open, attempt, upstream.NotSent)
+			c.endAttempt(open, attempt, upstream.NotSent, 0)
 		}
 	}
 }
 
-// endAttempt counts the outcome of an attempt and queues it in events: settle notifies the policy of it.
-func (c *Core) endAttempt(open *openRequest, attempt *upstream.Attempt, outcome upstream.Outcome) {
+// endAttempt counts the outcome of an attempt and queues it in events: settle notifies the policy of it. The time that the policy is
+// told leaves out memoryWait, the time in which this node did not read the response.
+func (c *Core) endAttempt(open *openRequest, attempt *upstream.Attempt, outcome upstream.Outcome, memoryWait time.Duration) {
 	open.attempts[attempt.Number] = nil
 	open.inFlight--
 	if endpoint := c.endpoints[attempt.Server]; endpoint != nil {
@@ -98,5 +101,5 @@
 	c.options.Counters.AttemptEnded(open.class, int(outcome))
 	c.requestLog.attemptEnded(now, open, attempt, outcome)
 	c.events = append(c.events, policy.Outcome{ID: open.id, Attempt: attempt.Number, Server: attempt.Server,
-		Reason: outcome.Reason(), Took: now.Sub(attempt.SentAt)})
+		Reason: outcome.Reason(), Took: max(0, now.Sub(attempt.SentAt)-memoryWait)})
 }
--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"shelfproxy/internal/admission"
+	"shelfproxy/internal/policy"
 	"shelfproxy/internal/request"
 	"shelfproxy/internal/upstream"
 )
@@ -114,3 +115,18 @@
 		t.Errorf("%d bytes are reserved in the end, want 0", used)
 	}
 }
+
+// TestWaitForMemoryIsNotBlamedOnTheServer checks that the policy is not told of the time in which this node did not read a response:
+// it would take the server for slow, and other nodes would hear so by gossip.
+func TestWaitForMemoryIsNotBlamedOnTheServer(t *testing.T) {
+	const took, memoryWait = 400 * time.Millisecond, 300 * time.Millisecond
+	node := newTestNode(t)
+	node.handle("id", "read")
+	node.cacheServer.writeAll()
+	node.passTime(took)
+	node.core.attemptEnded(node.cacheServer.inFlight[0], upstream.Response{Outcome: upstream.Served, Value: []byte("v"), MemoryWait: memoryWait})
+	outcome, ok := node.core.events[0].(policy.Outcome)
+	if !ok || outcome.Took != took-memoryWait {
+		t.Errorf("the policy is told of %+v, want an outcome that took %v", node.core.events[0], took-memoryWait)
+	}
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -22,11 +22,12 @@
 	// The fields below are used by Core only.
 
 	conn             *Conn
-	waitDeadline     time.Time // when the attempt stops waiting for a connection; zero while a connection is being opened for it
-	reassignments    int       // number of connections that closed before anything of the attempt was written
-	writeStarted     bool      // some bytes of the attempt may have been written
-	possiblyExecuted bool      // all bytes of the attempt may have been written, so the server may have executed it
-	abandoned        bool      // the caller has given the attempt up: a response to it is read and discarded
+	waitDeadline     time.Time     // when the attempt stops waiting for a connection; zero while a connection is being opened for it
+	reassignments    int           // number of connections that closed before anything of the attempt was written
+	writeStarted     bool          // some bytes of the attempt may have been written
+	possiblyExecuted bool          // all bytes of the attempt may have been written, so the server may have executed it
+	memoryWait       time.Duration // how long the attempt's connection was not read for lack of memory
+	abandoned        bool          // the caller has given the attempt up: a response to it is read and discarded
 }
 
 // mustNotBeWritten reports whether it is too late to write the attempt. Either its client has disconnected, of which the node may
--- a/internal/upstream/codec.go
+++ b/internal/upstream/codec.go
@@ -21,6 +21,7 @@
 	// ReservedMemory is the part of the pool's ResponseMemory, in bytes, that holds the value. It belongs to whoever has the
 	// response, who releases it once the value is written or dropped.
 	ReservedMemory int
+	MemoryWait     time.Duration // how long the response was not read for lack of memory; the server is not to blame for it
 }
 
 // Codec encodes requests and decodes responses in the protocol of an endpoint. It is safe for concurrent use.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,6 +35,8 @@
 	reservedMemory int                   // bytes that are reserved for the response that arrives
 	memoryWait     *admission.MemoryWait // the reservation that the connection waits for; nil if it waits for none
 
+	memoryWaitSince time.Time // when the connection began to wait for it
+
 	// The fields below are used by DescriptorBudget only, under its lock.
 
 	idleElement *list.Element // the connection's element in DescriptorBudget.idle; nil while the connection is not idle
--- a/internal/upstream/memory.go
+++ b/internal/upstream/memory.go
@@ -27,7 +27,7 @@
 		conn.mayNotWait = true
 		return true
 	case use == admission.NextResponse && !conn.mayNotWait:
-		conn.memoryWait = c.memory.Wait(missing, use, conn.NotifyMemory)
+		conn.memoryWait, conn.memoryWaitSince = c.memory.Wait(missing, use, conn.NotifyMemory), now
 		conn.mayNotWait = true
 		return false
 	}
@@ -41,6 +41,9 @@
 	}
 	conn.reservedMemory += conn.memoryWait.Bytes()
 	conn.memoryWait = nil
+	for _, attempt := range conn.pending { // their responses were not read meanwhile
+		attempt.memoryWait += now.Sub(conn.memoryWaitSince)
+	}
 	c.decode(now, conn, false, effects)
 }
 
--- a/internal/upstream/memory_test.go
+++ b/internal/upstream/memory_test.go
@@ -26,8 +26,9 @@
 	now      time.Time
 	notified int // number of calls of NotifyMemory
 	outcomes []upstream.Outcome
-	values   []int // lengths of the values that were reported
-	held     int   // response memory that the reported responses hold
+	values   []int           // lengths of the values that were reported
+	held     int             // response memory that the reported responses hold
+	waits    []time.Duration // the time for which each of them was not read
 }
 
 // newConnectionWith returns a connection on which attempts for the given requests were written.
@@ -62,6 +63,7 @@
 			c.outcomes = append(c.outcomes, effect.Response.Outcome)
 			c.values = append(c.values, len(effect.Response.Value))
 			c.held += effect.Response.ReservedMemory
+			c.waits = append(c.waits, effect.Response.MemoryWait)
 		}
 	}
 }
@@ -105,6 +107,7 @@
 			if !memory.Reserve(testMemory-1000, admission.NextResponse) {
 				t.Fatal("got no memory from an unused budget")
 			}
+			const wait = 300 * time.Millisecond
 			c := newConnectionWith(protocol.codec, memory, nextRequest())
 			unread := c.receive(protocol.response)
 			if len(unread) < len(longValue)/2 || !c.conn.IsWaitingForMemory() || len(c.outcomes) > 0 {
@@ -115,10 +118,14 @@
 			if c.notified != 1 {
 				t.Fatalf("notified %d times once there is memory, want once", c.notified)
 			}
+			c.now = c.now.Add(wait)
 			c.call(func(effects *upstream.Effects) { c.core.MemoryGranted(c.now, c.conn, effects) })
 			if unread = c.receive(unread); unread != "" || !slices.Equal(c.outcomes, []upstream.Outcome{upstream.Served}) || c.values[0] != len(longValue) {
 				t.Fatalf("%d bytes unread, outcomes %v, values %v, want the value", len(unread), c.outcomes, c.values)
 			}
+			if c.waits[0] != wait {
+				t.Errorf("the server is to be blamed for all but %v, want all but %v", c.waits[0], wait)
+			}
 			if memory.Used() != len(longValue) || c.held != len(longValue) {
 				t.Errorf("%d bytes are reserved and %d held by the response, want the length of the value", memory.Used(), c.held)
 			}
--- a/internal/upstream/transfer.go
+++ b/internal/upstream/transfer.go
@@ -102,6 +102,7 @@
 		return
 	}
 	attempt := conn.popPending()
+	response.MemoryWait = attempt.memoryWait
 	if attempt.abandoned {
 		c.memory.Release(response.ReservedMemory)
 	} else {
