Do not answer broken framing twice when a notification of memory comes late

Found by reading the change again: a grant of memory resumes a connection from any goroutine, so a connection may be resumed after its framing broke. Core.decode then found the same error again: a second -ERR, counted twice, and the connection was not ended after the first. TestBrokenFramingIsAnsweredAndEndsConnection resumes it now and fails without the guard (2 responses, and no orderly end).

With it, two small things of the same reading: a command of many short arguments no longer has its buffer copied for each of them, and no attempt is pipelined behind one whose response waits for memory.

--- a/internal/listener/command_reader.go
+++ b/internal/listener/command_reader.go
@@ -103,7 +103,7 @@
 func (r *commandReader) memoryReserved() {
 	r.argumentMemory, r.neededMemory = r.neededMemory, 0
 	r.reservedMemory += r.argumentMemory
-	r.raw = slices.Grow(slices.Clip(r.raw), r.argumentMemory+len(crlf))
+	r.raw = slices.Grow(r.raw, r.argumentMemory+len(crlf))
 }
 
 // discardArgument has the long argument that is being read, or that follows, replaced by an empty one. It returns the memory that
--- a/internal/listener/commands.go
+++ b/internal/listener/commands.go
@@ -20,6 +20,9 @@
 // decode dispatches the complete commands that were read from a connection. It pauses the connection when MaxPipelined commands
 // wait for responses, or when there is no memory for a long argument or for the response to a further command.
 func (c *Core) decode(now time.Time, conn *Conn, effects *Effects) {
+	if conn.isFramingBroken {
+		return
+	}
 	conn.isPaused = false
 	for !conn.isClosed {
 		if len(conn.slots) >= c.limits.MaxPipelined || conn.commands.hasBytes() && !c.reserveForNext(conn) {
--- a/internal/listener/core_test.go
+++ b/internal/listener/core_test.go
@@ -30,6 +30,10 @@
 		t.Errorf("got response %q, want %q", got, want)
 	}
 	effects = nil
+	core.Resume(now, conn, &effects) // a notification of memory may come late
+	if len(effects) > 0 || len(conn.slots) != 1 {
+		t.Errorf("got effects %+v and %d responses after the connection was resumed, want no second error", effects, len(conn.slots))
+	}
 	core.WriteCompleted(now, conn, true, &effects)
 	if !hasEffect(effects, HalfClose, conn) || !conn.IsLingering() {
 		t.Errorf("after the response: got effects %+v and lingering %v, want the connection half-closed and lingering", effects, conn.IsLingering())
--- a/internal/upstream/assign.go
+++ b/internal/upstream/assign.go
@@ -69,7 +69,7 @@
 		return nil
 	}
 	for _, conn := range c.conns {
-		if len(conn.pending) != 1 {
+		if len(conn.pending) != 1 || conn.IsWaitingForMemory() {
 			continue
 		}
 		ahead := conn.pending[0]
