Use the field's words in the new code of memory, and no long-lived one-letter names

hasRoom is isAvailable, what is held is reserved, what is kept is retained, in code and tests; the request of dispatchRequest is parsed.

--- a/internal/admission/memory_budget.go
+++ b/internal/admission/memory_budget.go
@@ -69,7 +69,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.waiting[use]) > 0 || !b.hasRoom(bytes, use) {
+	if len(b.waiting[use]) > 0 || !b.isAvailable(bytes, use) {
 		return false
 	}
 	b.used += bytes
@@ -152,15 +152,15 @@
 	return waits
 }
 
-// hasRoom reports whether a reservation leaves the budget within the share of its use. The caller holds mu.
-func (b *MemoryBudget) hasRoom(bytes int, use MemoryUse) bool {
+// isAvailable reports whether a reservation leaves the budget within the share of its use. The caller holds mu.
+func (b *MemoryBudget) isAvailable(bytes int, use MemoryUse) bool {
 	return b.used+bytes <= b.limit*memoryEighths[use]/8
 }
 
 // grant reserves memory for the reservations that wait. The uses with the larger shares come first. The caller holds mu.
 func (b *MemoryBudget) grant() {
 	for use := numMemoryUses - 1; use >= 0; use-- {
-		for len(b.waiting[use]) > 0 && b.hasRoom(b.waiting[use][0].bytes, use) {
+		for len(b.waiting[use]) > 0 && b.isAvailable(b.waiting[use][0].bytes, use) {
 			wait := b.waiting[use][0]
 			b.waiting[use][0] = nil // the array outlives the slice and would keep the wait in memory
 			b.waiting[use] = b.waiting[use][1:]
--- a/internal/admission/memory_budget_test.go
+++ b/internal/admission/memory_budget_test.go
@@ -62,7 +62,7 @@
 	wait  *MemoryWait // nil if the memory was reserved at once
 }
 
-func (r modelReservation) isHeld() bool { return r.wait == nil || r.wait.IsGranted() }
+func (r modelReservation) isReserved() bool { return r.wait == nil || r.wait.IsGranted() }
 
 // release gives the memory back, or ends the wait for it.
 func (r modelReservation) release(memory *MemoryBudget) {
@@ -83,22 +83,22 @@
 		grants := 0
 		for range rapid.IntRange(0, 100).Draw(t, "steps") {
 			use := MemoryUse(rapid.IntRange(0, int(numMemoryUses)-1).Draw(t, "use"))
-			held := &reservations[use]
+			ofUse := &reservations[use]
 			bytes := rapid.IntRange(1, limit/4).Draw(t, "bytes")
 			switch isNew := rapid.IntRange(0, 2).Draw(t, "is new") > 0; {
 			case isNew && memory.Reserve(bytes, use):
-				*held = append(*held, modelReservation{bytes: bytes})
+				*ofUse = append(*ofUse, modelReservation{bytes: bytes})
 			case isNew:
-				*held = append(*held, modelReservation{bytes, memory.Wait(bytes, use, func() { grants++ })})
-			case len(*held) > 0:
-				i := rapid.IntRange(0, len(*held)-1).Draw(t, "which")
-				(*held)[i].release(memory)
-				*held = slices.Delete(*held, i, i+1)
+				*ofUse = append(*ofUse, modelReservation{bytes, memory.Wait(bytes, use, func() { grants++ })})
+			case len(*ofUse) > 0:
+				i := rapid.IntRange(0, len(*ofUse)-1).Draw(t, "which")
+				(*ofUse)[i].release(memory)
+				*ofUse = slices.Delete(*ofUse, i, i+1)
 			}
 			checkReservations(t, memory, reservations[:])
 		}
-		for _, held := range reservations {
-			for _, reservation := range held {
+		for _, ofUse := range reservations {
+			for _, reservation := range ofUse {
 				reservation.release(memory)
 			}
 		}
@@ -111,25 +111,25 @@
 // checkReservations checks the state of a memory against the reservations that were made, by use and in their order.
 func checkReservations(t *rapid.T, memory *MemoryBudget, reservations [][]modelReservation) {
 	used := 0
-	for use, held := range reservations {
+	for use, ofUse := range reservations {
 		isSomeoneWaiting := false
-		for _, reservation := range held {
-			if reservation.isHeld() {
+		for _, reservation := range ofUse {
+			if reservation.isReserved() {
 				used += reservation.bytes
 			}
 			if reservation.wait == nil {
 				continue
 			}
-			if isSomeoneWaiting && reservation.isHeld() {
+			if isSomeoneWaiting && reservation.isReserved() {
 				t.Fatalf("use %d: got memory granted ahead of an earlier wait, want the order of the waits", use)
 			}
-			if !reservation.isHeld() && !isSomeoneWaiting && memory.Used()+reservation.bytes <= memory.limit*memoryEighths[use]/8 {
+			if !reservation.isReserved() && !isSomeoneWaiting && memory.Used()+reservation.bytes <= memory.limit*memoryEighths[use]/8 {
 				t.Fatalf("use %d: got a wait for %d bytes with %d in use, want it granted", use, reservation.bytes, memory.Used())
 			}
-			isSomeoneWaiting = isSomeoneWaiting || !reservation.isHeld()
+			isSomeoneWaiting = isSomeoneWaiting || !reservation.isReserved()
 		}
 	}
 	if got := memory.Used(); got != used || got > memory.limit {
-		t.Fatalf("%d bytes are in use, want the %d that are held, and %d at most", got, used, memory.limit)
+		t.Fatalf("%d bytes are in use, want the %d that are reserved, and %d at most", got, used, memory.limit)
 	}
 }
--- a/internal/listener/commands.go
+++ b/internal/listener/commands.go
@@ -105,26 +105,26 @@
 
 // dispatchRequest hands a command to the handler as a request.
 func (c *Core) dispatchRequest(now time.Time, conn *Conn, received command, effects *Effects) {
-	r, err := c.parseRequest(conn.arrival(now, c.pause.earliestArrival(now)), received.args)
+	parsed, err := c.parseRequest(conn.arrival(now, c.pause.earliestArrival(now)), received.args)
 	if err != nil {
 		c.limits.RequestMemory.Release(received.reservedMemory)
 		c.rejectCommand(now, conn, err, effects)
 		return
 	}
-	r.CommandMemory, r.IsValueDiscarded = received.reservedMemory, received.isIncomplete
-	r.ConnectionID = conn.id
+	parsed.CommandMemory, parsed.IsValueDiscarded = received.reservedMemory, received.isIncomplete
+	parsed.ConnectionID = conn.id
 	switch {
 	case len(conn.slots) == 0:
-		r.MarkNext()
-	case !r.IsWrite:
-		r.SetReservedMemory(conn.reservedMemory)
+		parsed.MarkNext()
+	case !parsed.IsWrite:
+		parsed.SetReservedMemory(conn.reservedMemory)
 		conn.reservedMemory = 0
 	}
-	slot := &ResponseSlot{request: r, isRequest: true}
-	r.Reply = func(response request.Response) { c.Reply(conn, slot, response) }
+	slot := &ResponseSlot{request: parsed, isRequest: true}
+	parsed.Reply = func(response request.Response) { c.Reply(conn, slot, response) }
 	c.table.CommandReceived(c.tableTime(now), conn.id, admission.CommandRequest)
 	conn.slots = append(conn.slots, slot)
-	effects.add(HandleRequest, conn, r)
+	effects.add(HandleRequest, conn, parsed)
 }
 
 // answer responds to a valid command without the handler.
--- a/internal/listener/pipelining_test.go
+++ b/internal/listener/pipelining_test.go
@@ -90,25 +90,25 @@
 // is reserved. The first command of a connection never waits, and all commands are handed over in the end.
 func TestPipelinedCommandsWaitForResponseMemory(t *testing.T) {
 	const commands, length = 20, 60 << 10
-	p := newPipeliningCore()
-	first, second := p.accept(), p.accept()
-	p.receive(first, pipelinedReads(commands))
-	if len(p.requests) != 3 || !first.IsPaused() {
+	core := newPipeliningCore()
+	first, second := core.accept(), core.accept()
+	core.receive(first, pipelinedReads(commands))
+	if len(core.requests) != 3 || !first.IsPaused() {
 		t.Fatalf("%d requests were handed over and the connection is paused: %v, want 3: one that need not wait and two for which there is memory",
-			len(p.requests), first.IsPaused())
+			len(core.requests), first.IsPaused())
 	}
-	p.receive(second, pipelinedReads(commands))
-	if len(p.requests) != 4 || !p.requests[3].IsNext() {
-		t.Fatalf("%d requests were handed over, want the first one of the second connection too", len(p.requests))
+	core.receive(second, pipelinedReads(commands))
+	if len(core.requests) != 4 || !core.requests[3].IsNext() {
+		t.Fatalf("%d requests were handed over, want the first one of the second connection too", len(core.requests))
 	}
 	for answered := range 2 * commands {
-		if len(p.requests) == 0 {
+		if len(core.requests) == 0 {
 			t.Fatalf("no request is handed over after %d answers, want %d answers", answered, 2*commands)
 		}
-		p.answerNext(length)
+		core.answerNext(length)
 	}
-	if first.IsPaused() || second.IsPaused() || p.memory.Used() != 0 {
-		t.Errorf("connections are paused: %v and %v, %d bytes are reserved, want none", first.IsPaused(), second.IsPaused(), p.memory.Used())
+	if first.IsPaused() || second.IsPaused() || core.memory.Used() != 0 {
+		t.Errorf("connections are paused: %v and %v, %d bytes are reserved, want none", first.IsPaused(), second.IsPaused(), core.memory.Used())
 	}
 }
 
@@ -171,21 +171,21 @@
 
 // Guards against responses that stay in memory after they were written, for as long as their connection is idle, or an attempt for
 // their request is in flight.
-func TestWrittenResponseIsNotKept(t *testing.T) {
+func TestWrittenResponseIsNotRetained(t *testing.T) {
 	p := newPipeliningCore()
 	conn := p.accept()
 	p.receive(conn, pipelinedReads(1))
 	value := make([]byte, 60<<10)
-	kept := weak.Make(&value[0])
+	retained := weak.Make(&value[0])
 	p.requests[0].Reply(request.Response{Kind: request.Served, Value: value})
 	p.carryOut()
 	p.effects, value = nil, nil
 	for range 10 { // a value that is not referenced may survive the first collection
 		runtime.GC()
-		if kept.Value() == nil {
+		if retained.Value() == nil {
 			return
 		}
 	}
-	t.Errorf("the response is kept in memory after it was written; the connection has %d responses to write, %d requests are known",
+	t.Errorf("the response is retained after it was written; the connection has %d responses to write, %d requests are known",
 		len(conn.slots), len(p.requests))
 }
--- a/internal/upstream/decoder_test.go
+++ b/internal/upstream/decoder_test.go
@@ -124,15 +124,15 @@
 }
 
 // Guards against values that stay in memory for as long as the connection on which they arrived is idle.
-func TestDecodersKeepNoValue(t *testing.T) {
+func TestDecodersRetainNoValue(t *testing.T) {
 	for _, protocol := range decoderProtocols {
 		decoder := protocol.newCodec(testMaxResponse).NewDecoder()
-		kept := receiveWeakly(t, decoder, protocol.encode(strings.Repeat("v", 70<<10)))
+		retained := receiveWeakly(t, decoder, protocol.encode(strings.Repeat("v", 70<<10)))
 		for range 10 { // a value that is not referenced may survive the first collection
 			runtime.GC()
 		}
-		if kept.Value() != nil {
-			t.Errorf("%s: the decoder keeps a value that it has returned, want it free", protocol.name)
+		if retained.Value() != nil {
+			t.Errorf("%s: the decoder retains a value that it has returned, want it free", protocol.name)
 		}
 		runtime.KeepAlive(decoder)
 	}
--- a/internal/upstream/memory_test.go
+++ b/internal/upstream/memory_test.go
@@ -27,7 +27,7 @@
 	notified int // number of calls of NotifyMemory
 	outcomes []upstream.Outcome
 	values   []int           // lengths of the values that were reported
-	held     int             // response memory that the reported responses hold
+	reserved int             // response memory that the reported responses hold
 	waits    []time.Duration // the time for which each of them was not read
 }
 
@@ -62,7 +62,7 @@
 		case upstream.ReportOutcome:
 			c.outcomes = append(c.outcomes, effect.Response.Outcome)
 			c.values = append(c.values, len(effect.Response.Value))
-			c.held += effect.Response.ReservedMemory
+			c.reserved += effect.Response.ReservedMemory
 			c.waits = append(c.waits, effect.Response.MemoryWait)
 		}
 	}
@@ -108,26 +108,29 @@
 				t.Fatal("got no memory from an unused budget")
 			}
 			const wait = 300 * time.Millisecond
-			c := newConnectionWith(protocol.codec, memory, nextRequest())
-			unread := c.receive(protocol.response)
-			if len(unread) < len(longValue)/2 || !c.conn.IsWaitingForMemory() || len(c.outcomes) > 0 {
+			connection := newConnectionWith(protocol.codec, memory, nextRequest())
+			unread := connection.receive(protocol.response)
+			if len(unread) < len(longValue)/2 || !connection.conn.IsWaitingForMemory() || len(connection.outcomes) > 0 {
 				t.Fatalf("%d bytes unread, waiting %v, outcomes %v; want most unread and the connection waiting", len(unread),
-					c.conn.IsWaitingForMemory(), c.outcomes)
+					connection.conn.IsWaitingForMemory(), connection.outcomes)
 			}
 			memory.Release(testMemory - 1000)
-			if c.notified != 1 {
-				t.Fatalf("notified %d times once there is memory, want once", c.notified)
+			if connection.notified != 1 {
+				t.Fatalf("notified %d times once there is memory, want once", connection.notified)
 			}
-			c.now = c.now.Add(wait)
-			c.call(func(effects *upstream.Effects) { c.core.MemoryGranted(c.now, c.conn, effects) })
-			if unread = c.receive(unread); unread != "" || !slices.Equal(c.outcomes, []upstream.Outcome{upstream.Served}) || c.values[0] != len(longValue) {
-				t.Fatalf("%d bytes unread, outcomes %v, values %v, want the value", len(unread), c.outcomes, c.values)
+			connection.now = connection.now.Add(wait)
+			connection.call(func(effects *upstream.Effects) {
+				connection.core.MemoryGranted(connection.now, connection.conn, effects)
+			})
+			unread = connection.receive(unread)
+			if unread != "" || !slices.Equal(connection.outcomes, []upstream.Outcome{upstream.Served}) || connection.values[0] != len(longValue) {
+				t.Fatalf("%d bytes unread, outcomes %v, values %v, want the value", len(unread), connection.outcomes, connection.values)
 			}
-			if c.waits[0] != wait {
-				t.Errorf("the server is to be blamed for all but %v, want all but %v", c.waits[0], wait)
+			if connection.waits[0] != wait {
+				t.Errorf("the server is to be blamed for all but %v, want all but %v", connection.waits[0], wait)
 			}
-			if memory.Used() != len(longValue) || c.held != len(longValue) {
-				t.Errorf("%d bytes are reserved and %d held by the response, want the length of the value", memory.Used(), c.held)
+			if memory.Used() != len(longValue) || connection.reserved != len(longValue) {
+				t.Errorf("%d bytes are reserved and %d held by the response, want the length of the value", memory.Used(), connection.reserved)
 			}
 		})
 	}
