Keep a connection that begins a command as it is found idle

Cause, on the core: between the moment in which a connection is found idle and the reader's look for unread bytes, the first bytes of a command may be read. None is unread then, and listener.Core.UnreadChecked closed the connection in the middle of the command.

Change: part of a command that has come since counts as unread bytes do. A connection that was found in the middle of a command, for taking too long, is closed as before.

TestIdleConnectionThatBeginsACommandIsKept fails without it.

--- a/internal/listener/core.go
+++ b/internal/listener/core.go
@@ -157,6 +157,7 @@
 // must be called by the goroutine that reads the connection, so that no bytes are between the socket and the core.
 func (c *Core) UnreadChecked(now time.Time, conn *Conn, hasUnread bool, effects *Effects) {
 	conn.isCheckingUnread = false
+	hasUnread = hasUnread || c.hasBegunCommand(conn)
 	switch {
 	case conn.isClosed || !conn.closeAfterResponses:
 	case len(conn.slots) == 0 && !conn.isPaused && (!hasUnread || c.mayCloseDespiteUnread(now, conn)):
@@ -168,6 +169,12 @@
 	}
 }
 
+// hasBegunCommand reports whether part of a command has arrived since a connection was to be closed as idle.
+func (c *Core) hasBegunCommand(conn *Conn) bool {
+	wasIdle := conn.endReason != EndedByDrain && c.table.Stage(conn.id) != admission.StagePartialCommand
+	return wasIdle && conn.commands.hasPartialCommand()
+}
+
 // mayCloseDespiteUnread reports whether a connection may be closed although unread bytes have arrived. Until the drain deadline,
 // a connection is kept open as long as its client sends. Past the deadline, it is kept open only once.
 func (c *Core) mayCloseDespiteUnread(now time.Time, conn *Conn) bool {
--- a/internal/listener/expiry_test.go
+++ b/internal/listener/expiry_test.go
@@ -100,3 +100,32 @@
 		t.Error("the connection is open although its client read nothing of a write, want it closed as stuck")
 	}
 }
+
+// TestIdleConnectionThatBeginsACommandIsKept guards against a connection that is closed in the middle of a command: its first bytes
+// come after the connection was found idle, and are read before the reader looks for unread bytes.
+func TestIdleConnectionThatBeginsACommandIsKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newTestCore(now, Limits{MaxConnections: 64, MaxPipelined: 3, MaxValue: 100, FirstCommandTimeout: time.Second,
+		CrowdedIdleTimeout: time.Second, IdleTimeout: time.Second})
+	conn := core.Accepted(now, now)
+	var effects Effects
+	core.BytesReceived(now, conn, copy(conn.ReadBuffer(), "*1\r\n$4\r\nPING\r\n"), &effects)
+	core.NextToWrite(now, conn, nil)
+	core.WriteCompleted(now, conn, true, &effects)
+	now = now.Add(time.Second)
+	effects = nil
+	core.ExpireIdle(now, &effects)
+	if !hasEffect(effects, CheckUnread, conn) {
+		t.Fatalf("got effects %+v at the idle timeout, want a look for unread bytes", effects)
+	}
+	core.BytesReceived(now, conn, copy(conn.ReadBuffer(), "*1\r\n$4\r\nPI"), &effects)
+	if core.UnreadChecked(now, conn, false, &effects); conn.IsClosed() {
+		t.Fatal("the connection was closed in the middle of a command, want it kept")
+	}
+	now = now.Add(time.Second)
+	effects = nil
+	core.ExpireIdle(now, &effects)
+	if checkUnread(core, now, &effects); !conn.IsClosed() {
+		t.Error("the connection is open after the time for the rest of its command, want it closed")
+	}
+}
