Take the limit of responses from the configuration of the start, not at each new server

Cause: since the function that creates connection pools computed the longest accepted response from d.cfg at each call. The node's goroutine calls it, while a reload replaces d.cfg on the goroutine of the daemon.

Change: the limit is computed when the function is made, like the other limits. Memory is a fixed field, so its value is the same.

The other readers of d.cfg were read through: they run on the daemon's goroutine, or before the node starts.

--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -156,18 +156,19 @@
 	return err
 }
 
-// upstreamFactory returns a function that creates the connection pool to a cache server or to the origin.
+// upstreamFactory returns a function that creates the connection pool to a cache server or to the origin. The function is called by
+// the node's goroutine, so it must not read d.cfg, which a reload replaces.
 func (d *Daemon) upstreamFactory() func(discovery.Server, bool, func(*upstream.Attempt, upstream.Response)) node.Upstream {
 	cacheServers := upstream.Budgets{Descriptors: d.descriptors.cacheServers, Responses: d.memory.budgets.responses}
 	origins := upstream.Budgets{Descriptors: d.descriptors.origin, Responses: d.memory.budgets.responses}
-	toCacheServer, toOrigin := cacheServerLimits(d.cfg), originLimits(d.cfg)
+	toCacheServer, toOrigin, maxValue := cacheServerLimits(d.cfg), originLimits(d.cfg), maxResponse(d.cfg)
 	return func(server discovery.Server, isOrigin bool, report func(*upstream.Attempt, upstream.Response)) node.Upstream {
 		if isOrigin {
-			codec := origin.Codec{Host: server.Addr, MaxValue: maxResponse(d.cfg)}
+			codec := origin.Codec{Host: server.Addr, MaxValue: maxValue}
 			return upstream.NewPool(server.Addr, codec, toOrigin, origins, report,
 				func() { d.counters.OriginConnections.Add(1) })
 		}
-		return upstream.NewPool(server.Addr, resp.Codec{MaxValue: maxResponse(d.cfg)}, toCacheServer, cacheServers, report,
+		return upstream.NewPool(server.Addr, resp.Codec{MaxValue: maxValue}, toCacheServer, cacheServers, report,
 			func() { d.counters.UpstreamConnections.Add(1) })
 	}
 }
