Wait in a test until the pool uses a second connection, not until it is accepted

Cause: the test waited until the server had accepted the second connection. The goroutine of the pool that opens it may learn of it later. If the first connection became idle meanwhile, the second attempt went over it, and the next round opened a third connection.

Change: where each attempt has a connection of its own, the server has to have received both commands before it answers the first one. This is stricter, as it also shows that the second attempt does not wait for the first one. The numbers of connections asked for are unchanged.

--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -67,12 +67,13 @@
 	}
 }
 
-// waitForConnections waits until the server has accepted at least the wanted number of connections, for testTimeout at most.
-func (s *cacheServer) waitForConnections(want int64) {
-	ticker := time.NewTicker(time.Millisecond)
-	defer ticker.Stop()
-	for deadline := time.Now().Add(testTimeout); s.connections.Load() < want && time.Now().Before(deadline); {
-		<-ticker.C
+// awaitCommand waits until the server has received a command, for testTimeout at most.
+func (s *cacheServer) awaitCommand(t *testing.T) {
+	t.Helper()
+	select {
+	case <-s.received:
+	case <-time.After(testTimeout):
+		t.Fatal("the server received no command")
 	}
 }
 
@@ -105,10 +106,13 @@
 				}
 			}
 			for round, want := range test.want {
+				hasOwnConnections := want > 1 // the attempts do not share a connection
 				send("a")
-				<-server.received // the connection of the first attempt is busy now
+				server.awaitCommand(t) // the connection of the first attempt is busy now
 				send("b")
-				server.waitForConnections(want) // otherwise the first connection could become idle before the second one is open
+				if hasOwnConnections {
+					server.awaitCommand(t) // arrives while the first attempt has no response, so on another connection
+				}
 				server.respond <- struct{}{}
 				server.respond <- struct{}{}
 				for range 2 {
@@ -116,7 +120,9 @@
 						t.Fatalf("round %d: got outcome %v, want %v", round, got, upstream.Served)
 					}
 				}
-				<-server.received
+				if !hasOwnConnections {
+					server.awaitCommand(t)
+				}
 				if got := server.connections.Load(); got != want {
 					t.Errorf("round %d: got %d connections, want %d", round, got, want)
 				}
