Expect responses of twice the mean size, not of the largest of the last ones

Reads waited though most of the memory was free.

Cause: the memory that a pipelined read reserves ahead is the largest size that the connection has seen, which fell by an eighth with each response. One long value in 20 kept the estimate near the long one.

Change: it falls by a half. With a halving, estimates are twice the sizes in the mean, whatever the order of long and short ones.

--- a/internal/listener/pipelining.go
+++ b/internal/listener/pipelining.go
@@ -3,8 +3,9 @@
 import "shelfproxy/internal/admission"
 
 const (
-	// sizeEstimateDecay is the divisor that gives how much the largest known size falls with each response.
-	sizeEstimateDecay = 8
+	// sizeEstimateDecay is the divisor that gives how much the largest known size falls with each response. With a half, the
+	// estimates are twice the sizes in the mean, however long and short responses follow each other.
+	sizeEstimateDecay = 2
 	// sizeEstimateMargin is added to each estimate: the bytes of a response beside its value, in the server's protocol.
 	sizeEstimateMargin = 1 << 10
 )
