Leave aside for connections what the configured descriptors take, not what 1,024 take

The budget throttled where there was room.

Cause: 24 MB were left aside for the program and its connections, whatever the number of descriptors. A node of 256 descriptors needs 16, so its responses got 2 MB instead of 4.

Change: 11 MB for the program and 20 KiB for each descriptor. Nodes of 1,024 descriptors get budgets that are a fifth smaller than before (12 and 8 MB of 64), with 640 the same.

Ruled out: a smaller sum for the program, as it starts with 10.9 MB.

--- a/internal/daemon/sizing.go
+++ b/internal/daemon/sizing.go
@@ -9,8 +9,11 @@
 	"shelfproxy/internal/upstream"
 )
 
-// What the process takes beside requests and responses: its program, the runtime, and the connections that its descriptors allow.
-const fixedMemoryMB = 24
+// What the process takes beside requests and responses.
+const (
+	programMemoryMB  = 11       // the program and the runtime
+	connectionMemory = 20 << 10 // bytes for each descriptor: the goroutines and the buffer of a connection, and what is known of it
+)
 
 // Fractions of the memory that is left, in eighths, for what grows with the load. The smallest nodes get the minima.
 const (
@@ -122,14 +125,19 @@
 	}
 }
 
+// memoryForLoad returns the memory that is left beside the program and its connections, in bytes. It may be negative.
+func memoryForLoad(cfg *config.Config) int {
+	return megabytes(cfg.MemoryMB-programMemoryMB) - cfg.Sockets*connectionMemory
+}
+
 // requestMemory returns the memory for requests, in bytes.
 func requestMemory(cfg *config.Config) int {
-	return max(megabytes(minRequestMemoryMB), megabytes(cfg.MemoryMB-fixedMemoryMB)/8*requestMemoryEighths)
+	return max(megabytes(minRequestMemoryMB), memoryForLoad(cfg)/8*requestMemoryEighths)
 }
 
 // responseMemory returns the memory for responses, in bytes.
 func responseMemory(cfg *config.Config) int {
-	return max(megabytes(minResponseMemoryMB), megabytes(cfg.MemoryMB-fixedMemoryMB)/8*responseMemoryEighths)
+	return max(megabytes(minResponseMemoryMB), memoryForLoad(cfg)/8*responseMemoryEighths)
 }
 
 // maxResponse returns the length of the longest response that is accepted from a server, in bytes. It fits the quarter of the memory
