Check the answers of a crowd of clients in one place in the tests of memory

The check of pipelined reads and that of writes were the same lines twice. The bounds are unchanged: nine tenths served, none failed, none missing.

--- a/tests/memory_test.go
+++ b/tests/memory_test.go
@@ -78,6 +78,14 @@
 	return fmt.Sprintf("%d served, %d rejected, %d failed, %d missing", a.served.Load(), a.rejected.Load(), a.failed.Load(), a.missing.Load())
 }
 
+// check fails the test unless nine tenths of the sent commands were served, and all of the others were rejected.
+func (a *answerTally) check(t *testing.T, commands string, sent int64) {
+	t.Helper()
+	if a.failed.Load()+a.missing.Load() > 0 || a.served.Load() < sent*9/10 {
+		t.Errorf("%s: %s; want nine tenths of %d served, none failed and none missing", commands, a, sent)
+	}
+}
+
 // checkOrdinaryRequests fails the test unless nine tenths of the requests of ordinary clients were served.
 func checkOrdinaryRequests(t *testing.T, sent, served int64) {
 	t.Helper()
@@ -109,9 +117,7 @@
 	clientsRunning.Wait()
 	t.Logf("peak memory %d kB; %d of %d ordinary requests served; pipelined reads: %s", node.PeakMemory(), served, sent, &pipelined)
 	checkOrdinaryRequests(t, sent, served)
-	if pipelined.failed.Load()+pipelined.missing.Load() > 0 || pipelined.served.Load() < clients*commandsAtOnce*9/10 {
-		t.Errorf("pipelined reads: %s; want nine tenths of %d served, none failed and none missing", &pipelined, clients*commandsAtOnce)
-	}
+	pipelined.check(t, "pipelined reads", clients*commandsAtOnce)
 	node.CheckPeakMemory(memoryLimit)
 	checkMemoryIsReleased(node)
 }
@@ -154,9 +160,7 @@
 	clientsRunning.Wait()
 	t.Logf("peak memory %d kB; %d of %d ordinary requests served; writes: %s", node.PeakMemory(), served, sent, &written)
 	checkOrdinaryRequests(t, sent, served)
-	if written.failed.Load()+written.missing.Load() > 0 || written.served.Load() < clients*writes*9/10 {
-		t.Errorf("writes: %s; want nine tenths of %d served, none failed and none missing", &written, clients*writes)
-	}
+	written.check(t, "writes", clients*writes)
 	node.CheckPeakMemory(memoryLimit)
 	checkMemoryIsReleased(node)
 }
