--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -119,7 +119,8 @@
 	}
 }
 
-func (c *Case) listen() net.Listener {
+// Listen listens on a free port, and closes it at the end of the case.
+func (c *Case) Listen() net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		c.Stop("listen: %v", err)
@@ -255,7 +256,7 @@
 
 // StartCache starts a cache server.
 func (c *Case) StartCache(name string, answer func(*CacheServer, *CacheConn, Command) string) *CacheServer {
-	l := c.listen()
+	l := c.Listen()
 	s := &CacheServer{Name: name, Addr: l.Addr().String(), Answer: answer}
 	go func() {
 		for {
@@ -342,7 +343,7 @@
 
 // StartOrigin starts an origin. answer returns the status, the body, and whether the request provably never ran.
 func (c *Case) StartOrigin(answer func(m Command) (status int, body string)) *Origin {
-	l := c.listen()
+	l := c.Listen()
 	mux := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/alive" || r.URL.Path == "/metrics/load" {
 			_, _ = io.WriteString(w, "ok")
@@ -410,7 +411,7 @@
 
 // Open serves the list at one more address. leave has the address take no new connection, and close the open ones after 1.5 s.
 func (d *Discovery) Open() (addr string, leave func()) {
-	l := d.c.listen()
+	l := d.c.Listen()
 	server := &http.Server{Handler: d}
 	go func() { _ = server.Serve(l) }()
 	return l.Addr().String(), func() {
@@ -742,7 +743,7 @@
 // Delayed starts a proxy in front of addr that holds each byte for oneWay in both directions, like a link between two machine rooms. It
 // returns the proxy's address.
 func (c *Case) Delayed(addr string, oneWay time.Duration) string {
-	l := c.listen()
+	l := c.Listen()
 	go func() {
 		for {
 			near, err := l.Accept()
