Show that writes are begun long after their client closed its connection

Change: case 9, a client that sends 64 writes at once and goes. The former case 7 is dropped, as review/1 shows late second answers already; the former case 9 (drain) takes its number.

--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,15 +1,9 @@
-// Command 7 shows that a client is served the answer to an earlier request after a server of another room has sent a second copy of
-// that answer some milliseconds late, when nothing else waited on the connection.
+// Command 7 shows that a node goes on sending to a cache server that drains, as each new configuration has it give up the call to
+// discovery that is about to be answered.
 package main
 
 import (
-	"bufio"
-	"errors"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
-	"os"
 	"sync"
 	"time"
 
@@ -17,45 +11,39 @@
 )
 
 const (
-	servers  = 4
-	reads    = 2000
-	writes   = 1000
-	oneWay   = 1300 * time.Microsecond // between two machine rooms: 0.7 to 1.3 ms
-	workTime = 3 * time.Millisecond
-	lateness = 2 * time.Millisecond // of the second copy
-	oneIn    = 20                   // so many answers have a second copy
-	patience = 3000                 // ms
+	servers   = 12
+	answerIn  = 1700 * time.Millisecond // discovery answers a call so late; a call fails after 2 s
+	between   = 1500 * time.Millisecond // from one new configuration to the next
+	reloads   = 8
+	drainsAt  = 200 * time.Millisecond // after the first new configuration
+	knownIn   = 6 * time.Second        // a change counts as told so long after discovery had it, at the latest
+	grace     = 2500 * time.Millisecond
+	slack     = 200 * time.Millisecond // 50 ms for sockets, 150 ms for a node that is held up
+	runsFor   = 14 * time.Second
+	betweenIn = 20 * time.Millisecond // between two reads
 )
 
 func valueOf(key string) string { return "value-of-" + key }
 
 func main() {
 	c := rig2.NewCase("review/7")
-	origin := startOrigin(c)
-	list := []rig2.Instance{{InstanceID: "origin", HostPort: c.Delayed(origin, oneWay), Zone: "room-b", MachineType: "origin", Lifecycle: "up", Weight: 1}}
+	origin := c.StartOrigin(func(m rig2.Command) (int, string) { return 200, valueOf(m.Key) })
+	list := []rig2.Instance{{InstanceID: "origin", HostPort: origin.Addr, Zone: "room-a", MachineType: "origin", Lifecycle: "up", Weight: 1}}
 	var mu sync.Mutex
-	answered := 0
+	var drainedAt time.Time // when discovery had the change
+	last := time.Duration(0)
+	servedBy := map[string]string{}
 	for i := range servers {
-		s := c.StartCache(fmt.Sprintf("box-%d", i), func(_ *rig2.CacheServer, _ *rig2.CacheConn, m rig2.Command) string {
-			time.Sleep(workTime)
-			return rig2.Hit(valueOf(m.Key))
-		})
-		s.After = func(s *rig2.CacheServer, conn *rig2.CacheConn, m rig2.Command) {
+		s := c.StartCache(fmt.Sprintf("box-%d", i), func(s *rig2.CacheServer, _ *rig2.CacheConn, m rig2.Command) string {
 			mu.Lock()
-			answered++
-			isSpoilt := c.Trouble && answered%oneIn == 0
-			mu.Unlock()
-			if !isSpoilt || m.Probe {
-				return
-			}
-			time.Sleep(lateness)
-			if conn.Waiting() == 0 { // nothing else waits on the connection
-				conn.Write(rig2.Hit(valueOf(m.Key)))
-				c.Log("%s conn %d sent a second copy of the answer to id=%s", s.Name, conn.Number, m.ID)
+			defer mu.Unlock()
+			servedBy[m.Key] = s.Name
+			if s.Name == "box-0" && !drainedAt.IsZero() {
+				last = m.At.Sub(drainedAt)
 			}
-		}
-		list = append(list, rig2.Instance{InstanceID: s.Name, HostPort: c.Delayed(s.Addr, oneWay), Zone: "room-b", MachineType: "standard",
-			Lifecycle: "up", Weight: 1})
+			return rig2.Hit(valueOf(m.Key))
+		})
+		list = append(list, rig2.Instance{InstanceID: s.Name, HostPort: s.Addr, Zone: "room-a", MachineType: "standard", Lifecycle: "up", Weight: 1})
 	}
 	discovery := c.StartDiscovery(list...)
 	node := c.StartNode("n0", discovery.Addr, discovery.Known(), rig2.Settings(1))
@@ -63,77 +51,65 @@
 	if err != nil {
 		c.Stop("client: %v", err)
 	}
-	for i := range reads {
-		key := fmt.Sprintf("record-%d", i)
-		got, err := client.Ask(5*time.Second, "CACHE.GET", key, fmt.Sprintf("id-%d", i), fmt.Sprintf("c=view-logbook,d=%d", patience))
-		c.Log("the client asked for %s and got %v %v", key, got, err)
+	read := func(i int, key string) {
+		got, err := client.Ask(5*time.Second, "CACHE.GET", key, fmt.Sprintf("id-%d", i), "c=view-logbook,d=3000")
 		if err != nil {
-			c.Stop("the client's connection ended: %v", err)
-		}
-		if got.Served() && got.Text != valueOf(key) {
-			c.Break("the client asked for %s and was served %s", key, got.Text)
+			c.Stop("a client's connection ended: %v", err)
 		}
+		c.Log("the client asked for %s and got %v", key, got)
 	}
-	for i := range writes {
-		key, id := fmt.Sprintf("record-%d", i), fmt.Sprintf("write-%d", i)
-		got, err := client.Ask(5*time.Second, "CACHE.SET", key, id, fmt.Sprintf("c=sign-off,d=%d,k=%d", patience, 1000+i), "signed")
-		c.Log("the client signed %s under id=%s and got %v %v", key, id, got, err)
-		if err != nil {
-			c.Stop("the client's connection ended: %v", err)
-		}
-		if got.Served() && got.Text != receiptOf(id) {
-			c.Break("the client signed %s under id=%s and was served %s", key, id, got.Text)
+	number := 0
+	var keys []string // keys of the server that will drain
+	for ; number < 200; number++ {
+		key := fmt.Sprintf("record-%d", number)
+		read(number, key)
+		if mu.Lock(); servedBy[key] == "box-0" {
+			keys = append(keys, key)
 		}
+		mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+	}
+	if len(keys) == 0 {
+		c.Stop("no key of box-0")
 	}
-	c.End()
-}
-
-func receiptOf(id string) string { return "receipt-of-" + id }
 
-// startOrigin starts an origin that writes its answers by hand: some have a second copy, as those of the cache servers.
-func startOrigin(c *rig2.Case) (addr string) {
-	l := c.Listen()
 	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
+		leave := discovery.Leave
+		for i := range reloads {
+			if c.Trouble {
+				discovery.Answer = answerIn
 			}
-			go serveOrigin(c, conn)
+			addr, leaveNext := discovery.Open()
+			if c.Trouble || i == 0 { // without the disruption there is one new configuration, and discovery answers at once
+				if err := node.Reload(addr); err != nil {
+					c.Stop("reload: %v", err)
+				}
+				c.Log("new configuration %d: discovery is at %s", i, addr)
+				leave()
+				leave = leaveNext
+			}
+			time.Sleep(between)
 		}
 	}()
-	return l.Addr().String()
-}
-
-func serveOrigin(c *rig2.Case, conn net.Conn) {
-	defer conn.Close()
-	r := bufio.NewReader(conn)
-	for answered := 1; ; answered++ {
-		request, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return
-		}
-		id := request.Header.Get("X-Request-Id")
-		c.Log("origin got %s %s id=%s", request.Method, request.URL.Path, id)
-		time.Sleep(workTime)
-		body := receiptOf(id)
-		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		if _, err := io.WriteString(conn, answer); err != nil {
-			return
-		}
-		c.Log("origin answered id=%s", id)
-		if !c.Trouble || answered%oneIn != 0 {
-			continue
-		}
-		_ = conn.SetReadDeadline(time.Now().Add(lateness))
-		_, err = r.Peek(1)
-		_ = conn.SetReadDeadline(time.Time{})
-		if err != nil && errors.Is(err, os.ErrDeadlineExceeded) { // nothing else waits on the connection
-			_, _ = io.WriteString(conn, answer)
-			c.Log("origin sent a second copy of the answer to id=%s", id)
+	time.Sleep(drainsAt)
+	for _, entry := range list {
+		if entry.InstanceID == "box-0" {
+			entry.Lifecycle = "draining"
+			mu.Lock()
+			drainedAt = time.Now()
+			mu.Unlock()
+			discovery.Change(entry)
 		}
 	}
+	for began := time.Now(); time.Since(began) < runsFor; number++ {
+		read(number, keys[number%len(keys)])
+		time.Sleep(betweenIn)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	c.Log("the last command came to box-0 %v after discovery had its drain", last)
+	if allowed := knownIn + grace + slack; last > allowed {
+		c.Break("box-0 was sent work %v after discovery had its drain; %v is allowed", last, allowed)
+	}
+	c.End()
 }
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,9 +1,10 @@
-// Command 9 shows that a node goes on sending to a cache server that drains, as each new configuration has it give up the call to
-// discovery that is about to be answered.
+// Command 9 shows that writes of a client that has sent much at once and gone are begun long after it closed its connection.
 package main
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,105 +12,116 @@
 )
 
 const (
-	servers   = 12
-	answerIn  = 1700 * time.Millisecond // discovery answers a call so late; a call fails after 2 s
-	between   = 1500 * time.Millisecond // from one new configuration to the next
-	reloads   = 8
-	drainsAt  = 200 * time.Millisecond // after the first new configuration
-	knownIn   = 6 * time.Second        // a change counts as told so long after discovery had it, at the latest
-	grace     = 2500 * time.Millisecond
-	slack     = 200 * time.Millisecond // 50 ms for sockets, 150 ms for a node that is held up
-	runsFor   = 14 * time.Second
-	betweenIn = 20 * time.Millisecond // between two reads
+	plays      = 5
+	usual      = 80                     // usual clients, each with one sign-off at a time
+	originTime = 800 * time.Millisecond // what the origin takes for a write under load
+	writes     = 64                     // that the client sends at once
+	size       = 40 << 10               // bytes of each
+	patience   = 3000                   // ms
+	allowed    = 300 * time.Millisecond // 100 ms by the rule, 50 ms for sockets, 150 ms for a node that is held up
 )
 
-func valueOf(key string) string { return "value-of-" + key }
-
 func main() {
 	c := rig2.NewCase("review/9")
-	origin := c.StartOrigin(func(m rig2.Command) (int, string) { return 200, valueOf(m.Key) })
-	list := []rig2.Instance{{InstanceID: "origin", HostPort: origin.Addr, Zone: "room-a", MachineType: "origin", Lifecycle: "up", Weight: 1}}
 	var mu sync.Mutex
-	var drainedAt time.Time // when discovery had the change
-	last := time.Duration(0)
-	servedBy := map[string]string{}
-	for i := range servers {
-		s := c.StartCache(fmt.Sprintf("box-%d", i), func(s *rig2.CacheServer, _ *rig2.CacheConn, m rig2.Command) string {
-			mu.Lock()
-			defer mu.Unlock()
-			servedBy[m.Key] = s.Name
-			if s.Name == "box-0" && !drainedAt.IsZero() {
-				last = m.At.Sub(drainedAt)
+	closedAt := map[string]time.Time{} // by play: when its client closed the connection
+	late, longest := map[string]int{}, map[string]time.Duration{}
+	origin := c.StartOrigin(func(m rig2.Command) (int, string) {
+		mu.Lock()
+		if play, _, ok := strings.Cut(m.ID, "/"); ok && !closedAt[play].IsZero() {
+			if after := m.At.Sub(closedAt[play]); after > allowed {
+				late[play]++
+				longest[play] = max(longest[play], after)
 			}
-			return rig2.Hit(valueOf(m.Key))
-		})
+		}
+		mu.Unlock()
+		time.Sleep(originTime)
+		return 200, "receipt-of-" + m.ID
+	})
+	list := []rig2.Instance{{InstanceID: "origin", HostPort: origin.Addr, Zone: "room-a", MachineType: "origin", Lifecycle: "up", Weight: 1}}
+	for i := range 4 {
+		s := c.StartCache(fmt.Sprintf("box-%d", i), func(*rig2.CacheServer, *rig2.CacheConn, rig2.Command) string { return rig2.Miss })
 		list = append(list, rig2.Instance{InstanceID: s.Name, HostPort: s.Addr, Zone: "room-a", MachineType: "standard", Lifecycle: "up", Weight: 1})
 	}
 	discovery := c.StartDiscovery(list...)
+	rig2.MemoryMB, rig2.Sockets = 64, 512
 	node := c.StartNode("n0", discovery.Addr, discovery.Known(), rig2.Settings(1))
-	client, err := rig2.Dial(node.Addr)
-	if err != nil {
-		c.Stop("client: %v", err)
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for i := range usual {
+		clients.Go(func() { signOff(c, node, i, stop) })
 	}
-	read := func(i int, key string) {
-		got, err := client.Ask(5*time.Second, "CACHE.GET", key, fmt.Sprintf("id-%d", i), "c=view-logbook,d=3000")
+	time.Sleep(2 * time.Second)
+	for play := range plays {
+		name := fmt.Sprintf("play-%d", play)
+		client, err := rig2.Dial(node.Addr)
 		if err != nil {
-			c.Stop("a client's connection ended: %v", err)
+			c.Stop("client: %v", err)
 		}
-		c.Log("the client asked for %s and got %v", key, got)
-	}
-	number := 0
-	var keys []string // keys of the server that will drain
-	for ; number < 200; number++ {
-		key := fmt.Sprintf("record-%d", number)
-		read(number, key)
-		if mu.Lock(); servedBy[key] == "box-0" {
-			keys = append(keys, key)
+		var all bytes.Buffer
+		value := strings.Repeat("x", size)
+		for i := range writes {
+			args := []string{"CACHE.SET", fmt.Sprintf("record-%d-%d", play, i), fmt.Sprintf("%s/%d", name, i),
+				fmt.Sprintf("c=sign-off,d=%d,k=%d", patience, 100*play+i), value}
+			fmt.Fprintf(&all, "*%d\r\n", len(args))
+			for _, arg := range args {
+				all.WriteString(rig2.Bulk(arg))
+			}
 		}
-		mu.Unlock()
-		time.Sleep(10 * time.Millisecond)
-	}
-	if len(keys) == 0 {
-		c.Stop("no key of box-0")
-	}
-
-	go func() {
-		leave := discovery.Leave
-		for i := range reloads {
-			if c.Trouble {
-				discovery.Answer = answerIn
+		began := time.Now()
+		sent := make(chan error, 1)
+		go func() { _, err := client.Net.Write(all.Bytes()); sent <- err }()
+		if c.Trouble {
+			select {
+			case err = <-sent:
+			case <-time.After(30 * time.Millisecond): // it goes though not all of it is out
 			}
-			addr, leaveNext := discovery.Open()
-			if c.Trouble || i == 0 { // without the disruption there is one new configuration, and discovery answers at once
-				if err := node.Reload(addr); err != nil {
-					c.Stop("reload: %v", err)
+			client.Close()
+			mu.Lock()
+			closedAt[name] = time.Now()
+			mu.Unlock()
+			c.Log("%s: the client closed its connection after %v (%v)", name, time.Since(began), err)
+			time.Sleep(4 * time.Second)
+		} else {
+			for range writes {
+				if _, err := client.Read(8 * time.Second); err != nil {
+					c.Stop("%s: %v", name, err)
 				}
-				c.Log("new configuration %d: discovery is at %s", i, addr)
-				leave()
-				leave = leaveNext
 			}
-			time.Sleep(between)
+			client.Close()
 		}
-	}()
-	time.Sleep(drainsAt)
-	for _, entry := range list {
-		if entry.InstanceID == "box-0" {
-			entry.Lifecycle = "draining"
-			mu.Lock()
-			drainedAt = time.Now()
-			mu.Unlock()
-			discovery.Change(entry)
+		mu.Lock()
+		c.Log("%s: %d writes were begun over %v after the close, the last %v after it", name, late[name], allowed, longest[name])
+		if late[name] > 0 {
+			c.Break("%s: %d writes were begun over %v after their client had closed its connection, the last %v after it", name, late[name],
+				allowed, longest[name])
 		}
+		mu.Unlock()
 	}
-	for began := time.Now(); time.Since(began) < runsFor; number++ {
-		read(number, keys[number%len(keys)])
-		time.Sleep(betweenIn)
+	close(stop)
+	clients.Wait()
+	c.End()
+}
+
+// signOff is a usual client: it signs one record after the other.
+func signOff(c *rig2.Case, node *rig2.Node, number int, stop chan struct{}) {
+	client, err := rig2.Dial(node.Addr)
+	if err != nil {
+		c.Stop("client: %v", err)
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	c.Log("the last command came to box-0 %v after discovery had its drain", last)
-	if allowed := knownIn + grace + slack; last > allowed {
-		c.Break("box-0 was sent work %v after discovery had its drain; %v is allowed", last, allowed)
+	defer client.Close()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		id := fmt.Sprintf("usual-%d-%d", number, i)
+		if _, err := client.Ask(8*time.Second, "CACHE.SET", "record-"+id, id, fmt.Sprintf("c=sign-off,d=%d,k=%d", patience, number), "signed"); err != nil {
+			client.Close()
+			if client, err = rig2.Dial(node.Addr); err != nil {
+				c.Stop("client: %v", err)
+			}
+		}
 	}
-	c.End()
 }
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -514,6 +514,9 @@
 // MemoryMB and Sockets are the limits of the nodes that are started.
 var MemoryMB, Sockets = 192, 1024
 
+// Cores is the part of a processor of the nodes that are started.
+var Cores = 1.0
+
 // Node is a real node.
 type Node struct {
 	Addr   string
@@ -572,7 +575,7 @@
 func (c *Case) StartNodeAt(addr, name, discovery string, known List, settings map[string]any) *Node {
 	n := &Node{Addr: addr, done: make(chan struct{})}
 	config := map[string]any{"name": name, "listen": n.Addr, "discovery": discovery, "seed": fmt.Sprintf("%016x", time.Now().UnixNano()),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": MemoryMB, "sockets": Sockets}, "known": known, "settings": settings}
+		"limits": map[string]any{"cores": Cores, "memory_mb": MemoryMB, "sockets": Sockets}, "known": known, "settings": settings}
 	text, _ := json.Marshal(config)
 	path := filepath.Join(c.Dir, name+".json")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
