--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -57,6 +58,9 @@
 		c.Stop("no temporary folder: %v", err)
 	}
 	c.Log("trouble=%v", c.Trouble)
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() { c.Stop("ended by %v", <-ended) }()
 	time.AfterFunc(110*time.Second, func() { c.Stop("the case took too long") })
 	return c
 }
