Give an answer only to the attempt that it was made for, and close what is given up

Cause, one for both: RESP2 has no ids, so an answer is known by its place on the connection alone, and upstream.Core kept that place for attempts that might never be answered. pipelineCandidate and leastLoaded put attempts behind any other one, deliver gave an answer to the first pending attempt, and Abandon left the connection of an attempt that was given up open while others were on it. limits.second_copies was not read.

An attempt may have been dropped once less than connect_timeout of its time is left. Nothing is put behind it, an answer is held until it is certain whose it is, and its connection is closed as it times out. Without second copies the connection is closed at once when an attempt is given up. The others on it end as Displaced: sent to the same server again, no sign against that server.

The comment of TestAbandonedAttemptLeavesOthersOnItsConnection now says that others may be answered over another connection; its check is as it was.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -22,6 +22,7 @@
 	ConnectTimeout  time.Duration
 	ConnectionIdle  time.Duration // time after which a cache server or the origin closes an idle connection
 	MaxDeadline     time.Duration // longest deadline of all classes
+	SecondCopies    bool          // two attempts for a request may be in flight at the same time
 }
 
 // Values of the fields of Node for which the settings contain no value.
@@ -76,6 +77,7 @@
 	MayGossip      bool   `json:"may_tell"`
 	MayHealthCheck bool   `json:"probes"`
 	MayCancel      bool   `json:"cancel"`
+	SecondCopies   bool   `json:"second_copies"`
 	HasRetryAfter  bool   `json:"retry_after"`
 	MaxAttempts    int    `json:"max_attempts"`
 	MaxRetryAfter  int64  `json:"max_retry_after"`
@@ -202,6 +204,7 @@
 		MaxStreams:      valueOr(s.Limits.MaxStreams, defaultMaxStreams),
 		ConnectTimeout:  microsOr(s.Limits.ConnectTimeout, defaultConnectTimeout),
 		ConnectionIdle:  microsOr(s.Limits.ConnectionIdle, defaultConnectionIdle),
+		SecondCopies:    s.Limits.SecondCopies,
 	}
 	for i := range s.Classes {
 		node.MaxDeadline = max(node.MaxDeadline, micros(s.Classes[i].Deadline))
--- a/internal/daemon/sizing.go
+++ b/internal/daemon/sizing.go
@@ -106,6 +106,8 @@
 		MaxStreams:     cfg.Node.MaxStreams,
 		MaxConnections: cfg.Operator.Pools.MaxConnections,
 		MaxQueued:      cfg.Operator.Pools.MaxQueued,
+		DroppedWithin:  cfg.Node.ConnectTimeout, // with less time left, a request is of no use to a server that it first has to reach
+		SecondCopies:   cfg.Node.SecondCopies,
 	}
 	if cfg.Policy.HandshakeCost > 0 {
 		limits.PipelineWithin = maxPipelineAge
--- a/internal/policy/events.go
+++ b/internal/policy/events.go
@@ -73,6 +73,7 @@
 	NeverSent                     // the attempt was never written to a connection
 	Miss                          // the server holds nothing for the key
 	CorruptResponse               // unparsable answer: the server responds and may have executed the attempt
+	Displaced                     // connection closed because of another attempt on it; not the fault of the server
 )
 
 // Outcome says how one attempt ended.
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -59,7 +59,7 @@
 // brought no usable answer.
 func leavesExecutionOpen(reason Reason) bool {
 	switch reason {
-	case Errored, TimedOut, Reset, Cancelled, CorruptResponse:
+	case Errored, TimedOut, Reset, Cancelled, CorruptResponse, Displaced:
 		return true
 	}
 	return false
@@ -104,6 +104,8 @@
 		r.advance(req)
 	case reason == Rejected && r.mayRedirect(ended):
 		r.advance(req) // a rejected attempt was not executed, so the retry budget is not charged for the next one
+	case reason == Displaced && len(req.attempts) < maxImmediateAttempts:
+		r.advance(req) // the server that holds the object is not to blame, so it is asked again
 	case reason == TimedOut || reason == NeverSent || !r.retryBudgets[req.class].AllowRetry(r.now):
 		r.giveUp(req, causeOfOutcome(reason))
 	default:
@@ -130,8 +132,8 @@
 	isCache := srv != r.origin
 	switch {
 	// Any server sends a corrupt response now and then. So the first retry goes to the same server, which holds the
-	// object.
-	case isCache && reason == CorruptResponse:
+	// object. A displaced attempt was no fault of the server at all.
+	case isCache && (reason == CorruptResponse || reason == Displaced):
 		if len(req.attempts) > 1 {
 			req.avoidedServer = srv
 		}
--- a/internal/policy/retry_test.go
+++ b/internal/policy/retry_test.go
@@ -26,6 +26,7 @@
 		{class: "unsafe", reason: Rejected, wantSends: 1},
 		{class: "unsafe", reason: Reset, wantFails: 1},
 		{class: "unsafe", reason: CorruptResponse, wantFails: 1},
+		{class: "unsafe", reason: Displaced, wantFails: 1},
 		{class: "high", reason: TimedOut, wantRejects: 1},
 		{class: "unsafe", reason: TimedOut, wantFails: 1},
 	} {
@@ -49,6 +50,28 @@
 	}
 }
 
+// TestDisplacedReadIsSentToItsServerAgain guards against a server that is blamed for a connection that the node closed
+// because of another attempt, and against a read that is rejected for it. The read goes to the same server again,
+// without a charge to the retry budget, as long as it has had few attempts.
+func TestDisplacedReadIsSentToItsServerAgain(t *testing.T) {
+	driver := newTrainedDriver(t)
+	id, actions := driver.request("high", "k", nil)
+	driver.spendRetryBudgets()
+	first := driver.sentTo(actions)
+	for range maxImmediateAttempts - 1 {
+		actions = driver.endAttempt(id, Displaced, 100*ms)
+		if got := driver.sentTo(actions); got != first {
+			t.Errorf("a displaced read is sent to %q, want %q again: %v", got, first, actions)
+		}
+		if got := actionsOf[HealthCheck](actions); len(got) > 0 {
+			t.Errorf("got %v for a displaced read, want no health check", got)
+		}
+	}
+	if actions := driver.endAttempt(id, Displaced, 100*ms); len(actionsOf[Reject](actions)) != 1 {
+		t.Errorf("got %v after %d attempts, want a rejection: the retry budget is used up", actions, maxImmediateAttempts)
+	}
+}
+
 // TestReadsRejectedByAFullServerGoElsewhere checks when a read that a full cache server rejected is retried at another
 // cache server. While the origin has a low load, the read is always retried. While the origin is busy, the read is
 // retried only if some cache servers reject fewer requests than the full one. The retry then goes to none of the
--- a/internal/testbed/simulation/clients.go
+++ b/internal/testbed/simulation/clients.go
@@ -42,9 +42,10 @@
 
 // Limits and delays of the simulated clients.
 const (
-	maxSends       = 4                     // maximum number of times that a client tries to send one request
-	reconnectDelay = 50 * time.Millisecond // wait if no node accepts connections; a load balancer in front of the nodes would take this time to find one
-	maxPipelined   = 5                     // maximum number of unanswered requests on one connection
+	maxSends        = 4                     // maximum number of times that a client tries to send one request
+	minShortTimeout = 5 * time.Millisecond  // shortest time that a client with a short timeout waits
+	reconnectDelay  = 50 * time.Millisecond // wait if no node accepts connections; a load balancer in front of the nodes would take this time to find one
+	maxPipelined    = 5                     // maximum number of unanswered requests on one connection
 )
 
 func newClients(w *world) *clients {
@@ -100,6 +101,9 @@
 	request.id, request.conn, request.isRead = "q"+strconv.Itoa(c.lastID), conn, false
 	class := world.plan.Classes[request.Class]
 	request.timeout = time.Duration(float64(class.Deadline.D()) * (0.5 + 0.5*world.rng.Float64()))
+	if world.networkFault(world.plan.Network.ShortTimeouts) {
+		request.timeout = world.drawBetween(minShortTimeout, world.plan.Nodes.ConnectTimeout.D())
+	}
 	request.sentAt, request.deadline = world.now, world.now+request.timeout
 	if n := len(conn.unanswered); n > 0 {
 		request.deadline = max(request.deadline, conn.unanswered[n-1].deadline)
--- a/internal/testbed/simulation/node.go
+++ b/internal/testbed/simulation/node.go
@@ -158,6 +158,8 @@
 		MaxConnections: 16,
 		MaxQueued:      64,
 		PipelineWithin: plan.Network.PipelineWithin,
+		DroppedWithin:  plan.Nodes.ConnectTimeout.D(),
+		SecondCopies:   plan.Network.SecondCopies,
 	}
 	originLimits := limits
 	originLimits.MaxStreams, originLimits.MaxConnections = 1, plan.Nodes.Sockets
--- a/internal/testbed/simulation/plan.go
+++ b/internal/testbed/simulation/plan.go
@@ -31,6 +31,9 @@
 	Dropped, Duplicated, Corrupted float64 // probabilities that a datagram is lost, duplicated or corrupted
 	ClientDisconnects              float64 // probability, for each request, that the client disconnects before the response arrives
 	Pipeline                       float64 // probability, for each request, that the client sends it on a connection with unanswered requests
+	ShortTimeouts                  float64 // probability, for each request, that its client waits for some milliseconds only
+	DropsOverdue                   bool    // cache servers send no response to a request that has little time left by then; see isDropped
+	SecondCopies                   bool    // pools may leave an abandoned attempt out while its request is sent elsewhere; see upstream.Limits
 }
 
 // Plan is the plan of one run, drawn from a seed: the scenario, the parameters of the network, and the faults.
--- a/internal/testbed/simulation/report.go
+++ b/internal/testbed/simulation/report.go
@@ -26,15 +26,16 @@
 
 // Names of invariants that the simulation itself checks, as reports print them. Package invariants checks further invariants.
 const (
-	InvariantNeverRan       = "never-ran" // an attempt that a connection pool reports as never run did not reach the server completely
-	InvariantOrder          = "order"     // responses come in the order of their commands
-	InvariantNoLeak         = "leak"      // long after the last request, nodes retain no requests, request ids, attempts or response memory
-	InvariantLiveness       = "liveness"  // some time after the last fault, requests are served again
-	InvariantWatchRenewed   = "deaf"      // a node detects a watch that went silent, and opens a new watch
-	InvariantRejectedNotRun = "refused"   // an at-most-once request that was rejected does not reach a server after the rejection
-	InvariantLinearizable   = "history"   // the reads and writes of each record are linearizable, with each write applied once
-	InvariantAbusiveClient  = "rude"      // a node answers malformed input with an error, or closes the connection, within 3 s
-	InvariantNoPanic        = "crash"     // no core panics; also reported if a run is aborted, or if a node sends a malformed request
+	InvariantNeverRan       = "never-ran"   // an attempt that a connection pool reports as never run did not reach the server completely
+	InvariantSecondCopy     = "second-copy" // where second copies are not allowed, a request is out on one open connection at a time
+	InvariantOrder          = "order"       // responses come in the order of their commands
+	InvariantNoLeak         = "leak"        // long after the last request, nodes retain no requests, request ids, attempts or response memory
+	InvariantLiveness       = "liveness"    // some time after the last fault, requests are served again
+	InvariantWatchRenewed   = "deaf"        // a node detects a watch that went silent, and opens a new watch
+	InvariantRejectedNotRun = "refused"     // an at-most-once request that was rejected does not reach a server after the rejection
+	InvariantLinearizable   = "history"     // the reads and writes of each record are linearizable, with each write applied once
+	InvariantAbusiveClient  = "rude"        // a node answers malformed input with an error, or closes the connection, within 3 s
+	InvariantNoPanic        = "crash"       // no core panics; also reported if a run is aborted, or if a node sends a malformed request
 )
 
 // Report is the result of a run.
--- a/internal/testbed/simulation/server_conn.go
+++ b/internal/testbed/simulation/server_conn.go
@@ -45,6 +45,7 @@
 type pendingResponse struct {
 	seq        uint64
 	id         string
+	deadline   Time // deadline of the request; 0 for a health check
 	text       []byte
 	corruption model.CorruptionKind
 	isReady    bool
@@ -212,8 +213,9 @@
 	if request.Deadline > 0 {
 		request.Deadline += w.now
 	}
-	c.pending = append(c.pending, &pendingResponse{seq: request.Seq, id: request.ID})
+	c.pending = append(c.pending, &pendingResponse{seq: request.Seq, id: request.ID, deadline: request.Deadline})
 	c.arrived[request.ID] = true
+	w.checkSecondCopy(c, request.ID)
 	w.clients.requestArrived(request.ID)
 	if server := w.system.ServerOf(c.id); server != "" { // server is empty if the server's process has ended since the node connected
 		w.logEvent("came", request.ID, server)
@@ -282,8 +284,8 @@
 	for len(c.pending) > 0 && c.pending[0].isReady && !c.stream.isClosed {
 		next := c.pending[0]
 		c.pending = c.pending[1:]
-		if c.isCorrupt {
-			continue // the connection stays open, but nothing more is sent on it
+		if c.isCorrupt || c.isDropped(next) {
+			continue // the connection stays open, but nothing more, or not this response, is sent on it
 		}
 		c.stream.write(next.text)
 		c.sendBytesAfter(next)
@@ -293,6 +295,21 @@
 	}
 }
 
+// responseTransit is longer than the rest of the time in which a request and its response are on their way.
+const responseTransit = 20 * time.Millisecond
+
+// isDropped reports whether a cache server drops a response without a word, as its request has little time left: less than the
+// time that opening a connection may take.
+func (c *serverConn) isDropped(next *pendingResponse) bool {
+	plan, now := c.world.plan, c.world.now
+	isHurried := next.deadline > 0 && next.deadline-now < plan.Nodes.ConnectTimeout.D()-responseTransit
+	if c.isOrigin || !isHurried || !plan.Network.DropsOverdue {
+		return false
+	}
+	c.world.logEvent("dropped", next.id)
+	return true
+}
+
 // sendBytesAfter sends bytes after a response, if the response's kind of corruption or the network's faults call for them. If the
 // node can no longer tell where a response begins, sendBytesAfter makes this response the last one on the connection.
 func (c *serverConn) sendBytesAfter(sent *pendingResponse) {
--- a/internal/testbed/simulation/world.go
+++ b/internal/testbed/simulation/world.go
@@ -34,12 +34,14 @@
 
 	acceptors map[acceptorKey]model.AcceptorState // by slot and node: what happens to new connections from the node to the server in the slot
 	servers   map[model.ConnID]*serverConn
-	lastID    model.ConnID
-	seq       uint64
-	calls     map[uint64]*discoveryCall
-	lastCall  uint64
-	nodes     []*node
-	clients   *clients
+	// latestAttempt holds, by the id of each request, the connection on which the last attempt for it arrived.
+	latestAttempt map[string]*serverConn
+	lastID        model.ConnID
+	seq           uint64
+	calls         map[uint64]*discoveryCall
+	lastCall      uint64
+	nodes         []*node
+	clients       *clients
 }
 
 // acceptorKey identifies a server's listening socket, as one node sees it. The slot is a number that stands for the server's
@@ -58,12 +60,13 @@
 	began := time.Now()
 	report = &Report{Seed: plan.Seed, Faults: plan.PartNames()}
 	run := &world{
-		timeline:  newTimeline(model.RandomStream(plan.Seed, "sim/net"), opt, report),
-		plan:      plan,
-		classes:   map[string]scenario.Class{},
-		acceptors: map[acceptorKey]model.AcceptorState{},
-		servers:   map[model.ConnID]*serverConn{},
-		calls:     map[uint64]*discoveryCall{},
+		timeline:      newTimeline(model.RandomStream(plan.Seed, "sim/net"), opt, report),
+		plan:          plan,
+		classes:       map[string]scenario.Class{},
+		acceptors:     map[acceptorKey]model.AcceptorState{},
+		servers:       map[model.ConnID]*serverConn{},
+		latestAttempt: map[string]*serverConn{},
+		calls:         map[uint64]*discoveryCall{},
 	}
 	defer func() {
 		if reason := recover(); reason != nil {
--- a/internal/upstream/assign.go
+++ b/internal/upstream/assign.go
@@ -19,7 +19,7 @@
 		c.waiting = append(c.waiting, attempt)
 		return 0, true
 	}
-	if conn := c.leastLoaded(); conn != nil { // no further connection may be opened: share an established one
+	if conn := c.leastLoaded(now); conn != nil { // no further connection may be opened: share an established one
 		c.enqueue(conn, attempt, effects)
 		return 0, true
 	}
@@ -69,7 +69,7 @@
 		return nil
 	}
 	for _, conn := range c.conns {
-		if len(conn.pending) != 1 || conn.IsWaitingForMemory() || c.isOutdated(conn) {
+		if len(conn.pending) != 1 || conn.IsWaitingForMemory() || c.isOutdated(conn) || !c.mayBeFollowed(now, conn) {
 			continue
 		}
 		ahead := conn.pending[0]
@@ -82,9 +82,10 @@
 
 // leastLoaded returns the connection with the fewest attempts, among those that may take one more; nil if there is none.
 // Responses come in the order of the attempts, so an attempt is put behind as few others as possible.
-func (c *Core) leastLoaded() (best *Conn) {
+func (c *Core) leastLoaded(now time.Time) (best *Conn) {
 	for _, conn := range c.conns {
-		if !c.isOutdated(conn) && len(conn.pending) < c.limits.MaxStreams && (best == nil || len(conn.pending) < len(best.pending)) {
+		mayTake := !c.isOutdated(conn) && len(conn.pending) < c.limits.MaxStreams && c.mayBeFollowed(now, conn)
+		if mayTake && (best == nil || len(conn.pending) < len(best.pending)) {
 			best = conn
 		}
 	}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -40,6 +40,11 @@
 
 func (a *Attempt) isHealthCheck() bool { return a.Request == nil }
 
+// isOverdue reports whether the request has timed out, so that it is not sent again.
+func (a *Attempt) isOverdue(now time.Time) bool {
+	return !a.Deadline.IsZero() && !now.Before(a.Deadline)
+}
+
 // writeDeadline returns the time at which an unfinished write of the attempt is given up.
 func (a *Attempt) writeDeadline() time.Time {
 	if !a.WriteBy.IsZero() && a.WriteBy.Before(a.Deadline) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -29,7 +29,8 @@
 	closeOutcome Outcome   // outcome of the attempts that were possibly executed when the connection closed
 	idleSince    time.Time // meaningful while the connection is in Core.idle
 
-	received       Response              // a complete response that is not delivered yet; valid while hasReceived is set
+	held           []Response            // complete responses that are not delivered yet, as it is not certain which attempts they belong to
+	received       Response              // the complete response after those that are held; valid while hasReceived is set
 	hasReceived    bool                  // received waits for its memory
 	isDiscarding   bool                  // the value of the response that arrives is discarded, as there is no memory for it
 	mayNotWait     bool                  // the response that arrives has waited for memory, or has got some without a wait
@@ -58,17 +59,27 @@
 // attempt then came before the report that the attempt is written.
 func (c *Conn) isBeingFreed() bool { return len(c.pending) == 0 && c.writing != nil }
 
-// mayReceive reports whether a response may come. The first pending attempt must be possibly executed, as an unwritten attempt
-// has no response.
-func (c *Conn) mayReceive() bool { return len(c.pending) > 0 && c.pending[0].possiblyExecuted }
+// mayReceive reports whether a response may come. The attempt that it would be for must be possibly executed, as an unwritten
+// attempt has no response.
+func (c *Conn) mayReceive() bool {
+	return len(c.held) < len(c.pending) && c.nextAnswered().possiblyExecuted
+}
+
+// nextAnswered returns the attempt that the next response belongs to, if the server has dropped none before it. There must be an
+// attempt without a response.
+func (c *Conn) nextAnswered() *Attempt { return c.pending[len(c.held)] }
+
+// written returns the number of pending attempts that may have been written.
+func (c *Conn) written() int { return len(c.pending) - len(c.unwritten) }
 
 // awaitsOnlyAbandoned reports whether all pending attempts are abandoned, so that the responses to come are of no use. It is
 // false if no attempt is pending.
 func (c *Conn) awaitsOnlyAbandoned() bool {
-	isWanted := func(attempt *Attempt) bool { return !attempt.abandoned }
 	return len(c.pending) > 0 && !slices.ContainsFunc(c.pending, isWanted)
 }
 
+func isWanted(attempt *Attempt) bool { return !attempt.abandoned }
+
 // nextUnwritten returns the attempt that is written next. The connection must have an unwritten attempt.
 func (c *Conn) nextUnwritten() *Attempt { return c.unwritten[0] }
 
--- a/internal/upstream/core.go
+++ b/internal/upstream/core.go
@@ -15,6 +15,11 @@
 	MaxConnections int           // maximum number of connections of one pool, established or being opened
 	MaxQueued      int           // number of attempts that may wait while no further connection can be opened
 	PipelineWithin time.Duration // an attempt is pipelined behind one sent less than this long ago, instead of opening a connection
+	// DroppedWithin is the time before its deadline in which a server may drop an attempt without a response. Zero means that no attempt
+	// is dropped before its deadline.
+	DroppedWithin time.Duration
+	// SecondCopies allows an attempt to be in flight for a request while an abandoned one is still out on an open connection.
+	SecondCopies bool
 }
 
 // Budgets are the resources that the pools of several servers share.
--- a/internal/upstream/memory.go
+++ b/internal/upstream/memory.go
@@ -16,7 +16,7 @@
 	if needed <= conn.reservedMemory || conn.isDiscarding {
 		return true
 	}
-	attempt := conn.pending[0]
+	attempt := conn.nextAnswered()
 	conn.reservedMemory += attempt.takeReservedMemory()
 	missing, use := needed-conn.reservedMemory, attempt.memoryUse()
 	switch {
@@ -66,7 +66,7 @@
 	if conn.isDiscarding {
 		conn.isDiscarding = false
 		response.Value = []byte{}
-		if attempt := conn.pending[0]; response.Outcome == Served && !attempt.isCancelled() { // nobody reads the value of a cancelled request
+		if attempt := conn.nextAnswered(); response.Outcome == Served && !attempt.isCancelled() { // nobody reads the value of a cancelled request
 			response.Outcome = ResponseTooLarge
 		}
 	}
@@ -84,6 +84,10 @@
 	}
 	c.memory.Release(conn.reservedMemory)
 	conn.reservedMemory = 0
+	for _, response := range conn.held {
+		c.memory.Release(response.ReservedMemory)
+	}
+	conn.held = nil
 }
 
 // neededMemory returns the bytes of the response that arrives, as far as they are known.
--- a/internal/upstream/outcome.go
+++ b/internal/upstream/outcome.go
@@ -24,6 +24,7 @@
 	ResponseTooLarge                // the response does not fit the response memory that is available
 	TimedOut                        // no response by the request's deadline
 	Cancelled                       // the policy abandoned the attempt
+	Displaced                       // the node closed the connection because of another attempt on it
 	numOutcomes
 )
 
@@ -49,6 +50,7 @@
 	ResponseTooLarge: {"unheld", policy.Errored, true}, // the attempt may have been executed, and a retry's response would be as long
 	TimedOut:         {"timed_out", policy.TimedOut, true},
 	Cancelled:        {"cancelled", policy.Cancelled, true},
+	Displaced:        {"displaced", policy.Displaced, true},
 }
 
 // Reason returns the reason that the policy is given for an attempt with this outcome. No other code maps outcomes to reasons.
--- a/internal/upstream/transfer.go
+++ b/internal/upstream/transfer.go
@@ -94,21 +94,17 @@
 	}
 }
 
-// deliver gives the received response to the first pending attempt of its connection.
+// deliver takes the received response and gives it to the attempt that it belongs to, once that is certain.
 func (c *Core) deliver(now time.Time, conn *Conn, effects *Effects) {
 	response := c.takeResponse(conn)
-	if !conn.pending[0].isHealthCheck() && response.Outcome == Served && response.Value == nil {
+	if !conn.nextAnswered().isHealthCheck() && response.Outcome == Served && response.Value == nil {
 		c.close(now, conn, CorruptResponse, effects) // the response to a health check has no value and can't answer a request
 		return
 	}
-	attempt := conn.popPending()
-	response.MemoryWait = attempt.memoryWait
-	if attempt.abandoned {
-		c.memory.Release(response.ReservedMemory)
-	} else {
-		effects.report(attempt, response)
-	}
+	conn.held = append(conn.held, response)
+	c.deliverHeld(now, conn, effects)
 	switch {
+	case conn.closed:
 	case response.ConnectionClose:
 		c.close(now, conn, ConnectionLost, effects)
 	case conn.Decoder.Buffered() > 0 && !conn.mayReceive():
--- a/tests/upstream_test.go
+++ b/tests/upstream_test.go
@@ -12,9 +12,9 @@
 	"shelfproxy/tests/harness"
 )
 
-// Guards against an abandoned attempt that ends other attempts on the same connection. A node with few descriptors sends several
+// Guards against an abandoned attempt that takes the answers of other requests along. A node with few descriptors sends several
 // attempts over each connection. The server never answers the requests for one key, and the clients that sent them give up. All
-// other requests have to be answered.
+// other requests have to be answered, on the same connection or on another one.
 func TestAbandonedAttemptLeavesOthersOnItsConnection(t *testing.T) {
 	t.Parallel()
 	server, release := harness.NewStuckCacheServer(t)
@@ -41,6 +41,31 @@
 	}
 }
 
+// Guards against a client that is served with another request's value. A node with few descriptors puts several attempts on each
+// connection, and the server drops reads with little time left without a word: its next answer belongs to the read behind.
+func TestReadBehindADroppedOneGetsItsOwnValue(t *testing.T) {
+	t.Parallel()
+	node := harness.NewNode(t, harness.NewCacheServer(t, func(command []string) string {
+		if command[1] == "dropped" {
+			return ""
+		}
+		return harness.Hit(command)
+	}))
+	node.Config.Limits = harness.FewDescriptors()
+	node.Config.Settings.Classes[0].PriorityWeight = 10 // a node that lags behind with its own work does not shed reads of this weight
+	node.Start()
+	const requests = 60 // more than the connections that a node with few descriptors opens
+	hurried, patient := node.Dial(), node.Dial()
+	for i := range requests {
+		hurried.Send("CACHE.GET", "dropped", fmt.Sprint("h", i), "c=read,d=150")
+		patient.Send("CACHE.GET", "k", fmt.Sprint("p", i), "c=read,d=2900")
+	}
+	for i := range requests {
+		hurried.Want("-")
+		patient.Want(fmt.Sprint("value-p", i))
+	}
+}
+
 // Guards against an at-most-once write that is executed twice. A server may have executed a request whose connection broke or
 // whose response is corrupt. So the node must not retry such a write; it retries a read at another server.
 func TestAtMostOnceWriteIsNotRetriedOnceItMayHaveBeenExecuted(t *testing.T) {
