Keep the watches on earlier addresses of discovery until a later one brings a list

Cause: node.Core.FollowDiscovery stopped the watch that it had for each new configuration, though its call was about to be answered, so no call was ever answered.

Change: a watch is stopped once one that was opened later has brought a list. A list that another watch has overtaken is left out. Four watches at most; of more the oldest and the newest stay. If an earlier watch brings a list after the newest has ended, the policy is told again to poll.

Ruled out: shorter timeouts or earlier retries (the node itself gave the calls up); keeping the first call alone (its address may end).

--- a/internal/node/core.go
+++ b/internal/node/core.go
@@ -52,9 +52,8 @@
 	endpointsAt      map[string][]*endpoint // the same endpoints, by address
 	removedEndpoints map[string]*endpoint   // known endpoints that were removed, kept while attempts are in flight to them, by id
 	listValidator    discovery.ListValidator
-	stopWatch        func() // stops the current watch; nil before the first watch
-	watchNumber      int    // number of the current watch; reports of earlier watches are dropped
-	isWatchHealthy   bool
+	watches          []*watch // open watches, in the order in which they were opened
+	isWatching       bool     // the last one of them is on the current source
 }
 
 // NewCore returns a core, or an error if the policy rejects its settings. Start must be called before any other method.
@@ -84,11 +83,12 @@
 	c.settle()
 }
 
-// Stop ends the watch on discovery.
+// Stop ends the watches on discovery.
 func (c *Core) Stop() {
-	if c.stopWatch != nil {
-		c.stopWatch()
+	for _, open := range c.watches {
+		open.stop()
 	}
+	c.watches, c.isWatching = nil, false
 }
 
 // NotifyPolicy notifies the policy of an event from outside the node.
--- a/internal/testbed/simulation/draw.go
+++ b/internal/testbed/simulation/draw.go
@@ -83,6 +83,10 @@
 	nodeFaultPart(TermNode, 0.3),
 	nodeFaultPart(TermNode, 0.1),
 	nodeFaultPart(ReloadNode, 0.25),
+	{"reloads", 0.15, func(r *rand.Rand, _ *scenario.Scenario, p *Plan, at func() scenario.Span) {
+		p.NodeFaults = append(p.NodeFaults, NodeFault{Kind: ReloadNode, Node: r.IntN(2), At: at().Least, Repeats: 1 + r.IntN(9),
+			Every: time.Duration(1+r.IntN(1500)) * time.Millisecond})
+	}},
 	networkPart("segments", 0.5, func(r *rand.Rand, n *Network) {
 		p := []float64{0.2, 0.6, 0.95}[r.IntN(3)]
 		n.ToServer.segmentProbability, n.FromServer.segmentProbability, n.ToNode.segmentProbability, n.ToClient.segmentProbability, n.Discovery.segmentProbability = p, p, p, p, p
@@ -129,7 +133,8 @@
 		s.Nodes.Count, s.Workload.Rate = scenario.Range{Least: 20, Most: 30}, scenario.Range{Least: 30, Most: 40}
 		p.ManyNodes = true
 		// One or more nodes are killed and restarted: a new process does not know which requests its predecessor sent.
-		p.NodeFaults = append(p.NodeFaults, NodeFault{KillNode, r.IntN(10), at().Least, 100 * time.Millisecond, r.IntN(10)})
+		p.NodeFaults = append(p.NodeFaults, NodeFault{Kind: KillNode, Node: r.IntN(10), At: at().Least,
+			RestartAfter: 100 * time.Millisecond, More: r.IntN(10)})
 	}},
 	{"no-messages", 0.1, func(_ *rand.Rand, _ *scenario.Scenario, p *Plan, _ func() scenario.Span) { p.NoGossip = true }},
 	{"little-memory", 0.25, func(r *rand.Rand, s *scenario.Scenario, p *Plan, _ func() scenario.Span) {
--- a/internal/testbed/simulation/node_faults.go
+++ b/internal/testbed/simulation/node_faults.go
@@ -30,6 +30,8 @@
 	At           Time
 	RestartAfter time.Duration // time from the end of the process until the node's next process starts
 	More         int           // number of nodes after Node, by index, that have the same fault at the same time
+	Repeats      int           // number of times that the fault happens again
+	Every        time.Duration // time from one of these times to the next
 }
 
 // Times of a graceful shutdown. They are shorter than the program's defaults, so that runs stay short.
--- a/internal/testbed/simulation/world.go
+++ b/internal/testbed/simulation/world.go
@@ -120,7 +120,9 @@
 func (w *world) scheduleNodeFaults() {
 	for _, fault := range w.plan.NodeFaults {
 		for i := range 1 + fault.More {
-			w.at(fault.At, func() { w.nodes[fault.Node+i].inject(fault) })
+			for repeat := range 1 + fault.Repeats {
+				w.at(fault.At+time.Duration(repeat)*fault.Every, func() { w.nodes[fault.Node+i].inject(fault) })
+			}
 		}
 	}
 }
