Begin nothing that waited in the node for a client that may have left unseen

Cause: a close behind more than the kernel's buffers hold shows only by a response or once all is read. (1) presence.IsPresent let writes begin all the same, however long they had waited in the origin's queue. (2) Little unread counted as "nothing held back", though the kernel offers a window again in large steps. (3) A response counted as a sign as it was written, before the client's kernel had taken it.

Change: a close counts as hidden until nothing is on its way; a request is begun within 50 ms of a sign, or a write of its being read, else it is rejected at its turn; requests behind others are read but withheld until a response was taken. The same for reads, retries, and waits for a connection.

Ruled out: rejecting every write without a sign; larger buffers of the kernel; one write at a time.

Not mended: where memory for requests is short, one write for each client that left may begin late.

--- a/internal/admission/memory_budget.go
+++ b/internal/admission/memory_budget.go
@@ -109,6 +109,16 @@
 	return b.used
 }
 
+// IsShort reports whether reservations for a use wait for memory.
+func (b *MemoryBudget) IsShort(use MemoryUse) bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.waiting[use]) > 0
+}
+
 // Waits returns how many reservations have had to wait so far.
 func (b *MemoryBudget) Waits() int {
 	if b == nil {
--- a/internal/listener/command_memory.go
+++ b/internal/listener/command_memory.go
@@ -33,7 +33,7 @@
 	if !conn.argumentWait.IsGranted() {
 		return false
 	}
-	conn.argumentWait, conn.argumentSince = nil, now
+	conn.argumentWait, conn.argumentSince, conn.hasWaitedForMemory = nil, now, true
 	conn.commands.memoryReserved()
 	c.table.ReadingResumed(c.tableTime(now), conn.id)
 	return true
--- a/internal/listener/commands.go
+++ b/internal/listener/commands.go
@@ -24,6 +24,7 @@
 		return
 	}
 	conn.isPaused = false
+	c.handOverWithheld(now, conn, effects)
 	for !conn.isClosed {
 		if len(conn.slots) >= c.limits.MaxPipelined || conn.commands.hasBytes() && !c.mayDecodeNext(now, conn, effects) {
 			conn.isPaused = true
@@ -54,7 +55,7 @@
 // mayDecodeNext reports whether the next command of a connection may be decoded: its client is there, as far as can be told, and there
 // is processor time and memory.
 func (c *Core) mayDecodeNext(now time.Time, conn *Conn, effects *Effects) bool {
-	if conn.mayHaveLeft(now) && len(conn.slots) > 0 {
+	if len(conn.slots) > 0 && conn.presence.hasWaited.Load() && conn.mayHaveLeft(now) {
 		return false // until a response is written, which shows whether the client is there
 	}
 	return c.takeTurn(now, conn, effects) && c.reserveForNext(conn)
@@ -122,8 +123,9 @@
 		return
 	}
 	parsed.CommandMemory, parsed.IsValueDiscarded = received.reservedMemory, received.isIncomplete
-	parsed.ConnectionID, parsed.Client = conn.id, &conn.presence
-	if conn.mayHaveLeft(now) { // rejected before anything of it ran: the response shows whether the client is there
+	parsed.ConnectionID = conn.id
+	mayHaveLeft := conn.mayHaveLeft(now)
+	if mayHaveLeft && conn.presence.hasWaited.Load() { // rejected before anything of it ran: the response shows whether the client is there
 		c.limits.RequestMemory.Release(received.reservedMemory)
 		c.answer(now, conn, busyResponse, effects)
 		return
@@ -135,10 +137,16 @@
 		parsed.SetReservedMemory(conn.reservedMemory)
 		conn.reservedMemory = 0
 	}
-	slot := &ResponseSlot{request: parsed, isRequest: true}
+	slot := &ResponseSlot{request: parsed, isRequest: true, requestClient: requestClient{&conn.presence, now, c.limits.RequestMemory, conn.hasWaitedForMemory}}
+	conn.hasWaitedForMemory = false
+	parsed.Client = slot
 	parsed.Reply = func(response request.Response) { c.Reply(conn, slot, response) }
 	c.table.CommandReceived(c.tableTime(now), conn.id, admission.CommandRequest)
 	conn.slots = append(conn.slots, slot)
+	if mayHaveLeft && len(conn.slots) > 1 && !parsed.IsValueDiscarded {
+		conn.withhold(slot)
+		return
+	}
 	effects.add(HandleRequest, conn, parsed)
 }
 
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -20,8 +20,8 @@
 	id                  uint64 // identifies the connection in the connection table
 	commands            commandReader
 	presence            presence        // whether the client may still be there
-	mayHideClose        bool            // the client may have closed the connection unseen: more is unread than the kernel takes
 	slots               []*ResponseSlot // one per command whose response is not written yet, in the order of the commands
+	withheld            int             // number of slots whose requests are not handed over yet
 	writing             int             // number of leading slots whose responses are being written
 	writingSince        time.Time       // when the last write of responses began
 	isPaused            bool            // no further command is read: MaxPipelined commands wait for responses, or there is no memory for another response
@@ -32,6 +32,7 @@
 	reservedMemory      int                   // bytes of response memory that are reserved for the response to the next command
 	memoryWait          *admission.MemoryWait // the reservation of response memory that the connection waits for; nil if it waits for none
 	argumentWait        *admission.MemoryWait // the reservation for a long argument that the connection waits for; nil if it waits for none
+	hasWaitedForMemory  bool                  // the command that is read has waited for its memory
 	argumentSince       time.Time             // when the connection began to wait for that memory or, after it was reserved, to read the argument
 	isFramingBroken     bool                  // the framing is broken: no further byte is read
 	closeAfterResponses bool                  // close the connection once all pending responses are written
@@ -59,13 +60,6 @@
 // BytesArrived records the time by which the next bytes for the core had arrived.
 func (c *Conn) BytesArrived(by time.Time) { c.arrivedBy = by }
 
-// observed records what the kernel knew of an open connection at the time now.
-func (c *Conn) observed(now time.Time, state receiving) {
-	if c.mayHideClose = state.mayHideClose(); !c.mayHideClose {
-		c.presence.seen(now)
-	}
-}
-
 // arrival returns the earliest time at which a command that is decoded now may have arrived. That is the time that the kernel
 // reports, or the result of arrivalAcrossPause if that is earlier or the kernel reports none. earliest is the result of
 // pauseTracker.earliestArrival and is only passed on to arrivalAcrossPause.
@@ -122,11 +116,14 @@
 
 // ResponseSlot holds the response to one command. The slots of a connection are in the order of its commands.
 type ResponseSlot struct {
-	request   *request.Request // the request until it is answered; nil for a command that the listener answers itself
-	isRequest bool             // the command was handed to the handler as a request
-	isReady   bool
-	prefix    []byte // the first bytes of the response, or all of them
-	value     []byte // written after prefix and followed by CRLF; nil if prefix is the whole response; not copied
+	requestClient
+
+	request    *request.Request // the request until it is answered; nil for a command that the listener answers itself
+	isWithheld bool             // the request is not handed over yet, as its client may have left
+	isRequest  bool             // the command was handed to the handler as a request
+	isReady    bool
+	prefix     []byte // the first bytes of the response, or all of them
+	value      []byte // written after prefix and followed by CRLF; nil if prefix is the whole response; not copied
 
 	reservedMemory int // bytes of response memory that hold value
 	commandMemory  int // bytes of request memory that hold value, if it is an argument of the command
--- a/internal/listener/core.go
+++ b/internal/listener/core.go
@@ -254,7 +254,11 @@
 // last step of closing a connection.
 func (c *Core) cancelRequests(conn *Conn, effects *Effects) {
 	for _, slot := range conn.slots {
-		if slot.request != nil && !slot.isReady {
+		switch {
+		case slot.request == nil || slot.isReady:
+		case slot.isWithheld:
+			c.limits.RequestMemory.Release(slot.request.CommandMemory)
+		default:
 			slot.request.Cancel()
 			effects.add(ClientDisconnected, conn, slot.request)
 		}
--- a/internal/listener/loops.go
+++ b/internal/listener/loops.go
@@ -51,9 +51,9 @@
 	case conn.IsClosed():
 	case event.size > 0:
 		conn.BytesArrived(event.arrivedBy)
-		conn.observed(event.at, event.state)
+		conn.presence.observed(event.at, event.state)
 		l.core.BytesReceived(now, conn, event.size, effects)
-	case isPaused:
+	case isPaused, conn.hasWithheld():
 		l.core.Resume(now, conn, effects)
 	}
 }
--- a/internal/listener/responses.go
+++ b/internal/listener/responses.go
@@ -111,12 +111,16 @@
 	}
 	c.table.WriteEnded(conn.id, unsentBytes)
 	c.table.ResponsesWritten(c.tableTime(now), conn.id, written)
-	conn.presence.seen(conn.writingSince)
+	if conn.presence.mayHideClose.Load() {
+		conn.presence.answered(conn.writingSince)
+	} else {
+		conn.presence.seen(conn.writingSince)
+	}
 	conn.sentAfter = conn.writingSince // the client may have received the responses at once and sent its next command
 	switch {
 	case conn.closeAfterResponses && len(conn.slots) == 0:
 		c.closeUnlessUnread(now, conn, effects)
-	case conn.isPaused && !conn.isFramingBroken:
+	case conn.hasWithheld(), conn.isPaused && !conn.isFramingBroken:
 		effects.add(ResumeReading, conn, nil)
 	}
 	c.notifyWriter(conn, effects)
--- a/internal/listener/socket.go
+++ b/internal/listener/socket.go
@@ -79,7 +79,7 @@
 // receivingOf asks the kernel for the receiving side of a connection, and for the number of unread bytes if there may be some.
 func receivingOf(fd uintptr, mayHaveUnread bool) (kernelState socketstate.Received, state receiving) {
 	kernelState = socketstate.ReceivedOn(fd)
-	state.isClosed = kernelState.HasPeerClosed
+	state.isClosed, state.sinceData = kernelState.HasPeerClosed, kernelState.SinceData
 	if mayHaveUnread {
 		state.unread = socketstate.Unread(fd)
 	}
@@ -105,7 +105,11 @@
 
 // look asks the kernel for the receiving side. It is safe for concurrent use.
 func (s *socket) look() (state receiving) {
-	if s.raw.Control(func(fd uintptr) { _, state = receivingOf(fd, true) }) != nil {
+	look := func(fd uintptr) {
+		_, state = receivingOf(fd, true)
+		state.unacked = socketstate.Unacked(fd)
+	}
+	if s.raw.Control(look) != nil {
 		state.isClosed = true // the node has closed it
 	}
 	return state
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -35,9 +35,9 @@
 
 // Client tells whether the client of a request is there. It is safe for concurrent use.
 type Client interface {
-	// IsPresent reports whether a request may be begun for the client at the time now. hasLeft says that the client has closed its
+	// IsPresent reports whether r, a request of the client, may be begun at the time now. hasLeft says that the client has closed its
 	// connection; if neither is so, the client may have closed it, which can't be seen. IsPresent does not block.
-	IsPresent(now time.Time, isWrite bool) (isPresent, hasLeft bool)
+	IsPresent(now time.Time, r *Request) (isPresent, hasLeft bool)
 }
 
 // Cancel records that the client has disconnected: nothing more may be started for the request. Cancel is safe for concurrent
@@ -53,7 +53,7 @@
 	if r.IsCancelled() || r.Client == nil {
 		return !r.IsCancelled()
 	}
-	isPresent, hasLeft := r.Client.IsPresent(now, r.IsWrite)
+	isPresent, hasLeft := r.Client.IsPresent(now, r)
 	if hasLeft {
 		r.Cancel()
 	}
--- a/internal/socketstate/socketstate.go
+++ b/internal/socketstate/socketstate.go
@@ -53,6 +53,16 @@
 	return unread
 }
 
+// Unacked returns the number of bytes that were written to a connection and that the other side's kernel has not taken; 0 if it is not
+// known.
+func Unacked(fd uintptr) int {
+	unacked, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	if err != nil {
+		return 0
+	}
+	return unacked
+}
+
 // Age returns how long ago a connection was established on which nothing was sent yet; 0 if that is not known.
 func Age(fd uintptr) time.Duration {
 	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
--- a/tests/overload/leaving_clients_test.go
+++ b/tests/overload/leaving_clients_test.go
@@ -1,10 +1,13 @@
 package overload
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -122,3 +125,96 @@
 		})
 	}
 }
+
+const (
+	slowOriginTime = 800 * time.Millisecond
+	queuedWriters  = 80       // usual clients whose writes keep the origin busy, one at a time each
+	writesAtOnce   = 64       // of a client that leaves
+	longValue      = 40 << 10 // bytes of each of them
+)
+
+// writeUntil signs one record after the other.
+func writeUntil(node *harness.Node, number int, stop <-chan struct{}) {
+	client := node.TryDialWithin(patience)
+	if client == nil {
+		return
+	}
+	defer func() { _ = client.Close() }()
+	reader := bufio.NewReader(client)
+	for i := 0; !isClosed(stop); i++ {
+		id := fmt.Sprintf("u%d-%d", number, i)
+		_ = client.SetDeadline(time.Now().Add(2 * longestWait)) // an error shows in the write
+		_, err := client.Write(respcmd.Append(nil, "CACHE.SET", id, id, fmt.Sprintf("c=put,d=%d,k=%d", longestWait.Milliseconds(), number), "signed"))
+		if _, answerErr := harness.ReadAnswer(reader); err != nil || answerErr != nil {
+			return
+		}
+	}
+}
+
+// Guards against writes that wait in the node, as the origin has no room for them, and are begun long after their client closed its
+// connection behind more than the system's buffers hold. Neither a flood nor a busy machine is needed.
+func TestQueuedWritesOfClientsThatLeftAreNotBegun(t *testing.T) { checkQueuedWrites(t, 1) }
+
+// Guards against the same where so many clients send much at once that the node is short of memory.
+func TestQueuedWritesOfManyClientsThatLeftAreNotBegun(t *testing.T) { checkQueuedWrites(t, 24) }
+
+// checkQueuedWrites has clients send many writes and leave, a number of them at a time, in front of an origin that is busy.
+func checkQueuedWrites(t *testing.T, clientsAtOnce int) {
+	t.Helper()
+	node := harness.NewNode(t, harness.NewCacheServer(t, harness.Hit))
+	node.Program = harness.UninstrumentedNodeProgram(t)
+	node.Config.Limits = harness.Limits{Cores: 1, MemoryMB: nodeMemoryMB, Sockets: nodeSockets}
+	begun := &arrivals{at: map[string][]time.Time{}}
+	node.Origin.Handle(func(w http.ResponseWriter, request *http.Request) {
+		begun.mu.Lock()
+		begun.at[harness.RequestID(request)] = append(begun.at[harness.RequestID(request)], time.Now())
+		begun.mu.Unlock()
+		time.Sleep(slowOriginTime)
+		fmt.Fprint(w, "stored")
+	})
+	node.Start()
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	for i := range queuedWriters {
+		running.Go(func() { writeUntil(node, i, stop) })
+	}
+	time.Sleep(slowOriginTime)
+	clients := make([]*leavingClient, clientsAtOnce)
+	for i := range clients {
+		clients[i] = &leavingClient{number: i}
+	}
+	for range 3 {
+		var leaving sync.WaitGroup
+		for _, client := range clients {
+			leaving.Go(func() { client.writeAndLeave(node) })
+		}
+		leaving.Wait()
+		time.Sleep(longestWait) // the writes have begun by then, or never do
+	}
+	close(stop)
+	running.Wait()
+	begun.mu.Lock()
+	defer begun.mu.Unlock()
+	attempts, late := lateAttempts(clients, begun)
+	t.Logf("%d attempts for clients that left, %d of them late", attempts, len(late))
+	if len(clients[0].leftAt) == 0 || len(late) > 0 {
+		t.Errorf("clients left %d times, and %d of %d attempts began after that: %v later", len(clients[0].leftAt), len(late), attempts, late)
+	}
+}
+
+func (c *leavingClient) writeAndLeave(node *harness.Node) {
+	conn := node.TryDialWithin(patience)
+	if conn == nil {
+		return
+	}
+	var commands []byte
+	for i := range writesAtOnce {
+		id := c.id(len(c.leftAt), i)
+		extras := fmt.Sprintf("c=put,d=%d,k=%d", longestWait.Milliseconds(), i)
+		commands = respcmd.Append(commands, "CACHE.SET", id, id, extras, strings.Repeat("x", longValue))
+	}
+	_ = conn.SetDeadline(time.Now().Add(longestStay))
+	_, _ = conn.Write(commands) // fails at the deadline
+	_ = conn.Close()
+	c.leftAt = append(c.leftAt, time.Now())
+}
