End a fetch that is given up, and one whose origin has left the list

Cause: policy.Router.dequeueForOrigin sent a queued fetch without a look at whether send gave it up, and recordAtOrigin, which completes a fetch, was called for the origin in force alone.

Change: sendToOrigin for both ways to the origin; attemptEnded completes the fetch for any origin.

Ruled out: completing the fetch in endRequest, which runs before the outcome of a fetch that succeeded is known.

--- a/internal/policy/coalescing_test.go
+++ b/internal/policy/coalescing_test.go
@@ -58,3 +58,34 @@
 		t.Errorf("when the origin has a free slot again: got %v, want a send of the follower %d", sends, follower)
 	}
 }
+
+// TestFollowerGoesOnWhenItsFetchIsGivenUp guards against reads of a key that wait for ever: the fetch that they wait for
+// is given up as it leaves the queue, or its origin leaves the endpoint list meanwhile.
+func TestFollowerGoesOnWhenItsFetchIsGivenUp(t *testing.T) {
+	driver := newDriver(t, testSettings(), "s1")
+	driver.router.originLimiter = admission.ConcurrencyLimiter{Max: 1}
+	write, _ := driver.request("high", "w0", asWrite)
+	leader, _ := driver.request("keyed", "k", nil)
+	driver.endAttempt(leader, Errored, ms) // from now on the read may be sent again for as long as its window lasts
+	if !driver.router.originQueue.Contains(driver.router.requests[leader]) {
+		t.Fatal("the fetch does not wait for the origin, want it queued")
+	}
+	follower, _ := driver.request("high", "k", nil)
+	driver.now += 800 * ms
+	actions := driver.endAttempt(write, Succeeded, 50*ms)
+	if sends := actionsOf[Send](actions); len(sends) != 1 || sends[0].ID != follower {
+		t.Errorf("when the window has ended: got %v, want one send for the follower %d", actions, follower)
+	}
+	if len(driver.router.flights) > 0 {
+		t.Errorf("%d fetches are known, want none", len(driver.router.flights))
+	}
+
+	driver = newDriver(t, testSettings(), "s1")
+	leader, _ = driver.request("high", "k", nil)
+	driver.endAttempt(leader, Miss, ms)
+	driver.update(Server{ID: originID, Kind: "origin", State: Removed})
+	driver.endAttempt(leader, TimedOut, 50*ms)
+	if len(driver.router.flights) > 0 {
+		t.Errorf("the origin has left: %d fetches are known, want none", len(driver.router.flights))
+	}
+}
--- a/internal/policy/originqueue.go
+++ b/internal/policy/originqueue.go
@@ -30,16 +30,13 @@
 	}
 	r.flights[req.Key] = &flight{leader: req}
 	r.sendOrQueueAtOrigin(req)
-	if req.isEnded {
-		r.completeFlight(req, false)
-	}
 }
 
 // sendOrQueueAtOrigin sends a request to the origin if the limit on attempts in flight at the origin allows one more.
 // Otherwise the request waits in the queue for as long as an answer could still arrive in time.
 func (r *Router) sendOrQueueAtOrigin(req *request) {
 	if r.origin == nil || r.isOriginBelowLimit() {
-		r.send(req, r.origin)
+		r.sendToOrigin(req)
 		return
 	}
 	until, weight := req.objectiveAt-r.origin.gauge.target, req.priorityWeight
@@ -55,13 +52,22 @@
 	r.originQueue.Add(req, weight)
 }
 
+// sendToOrigin sends a request to the origin. If the request is given up instead, those that wait for its fetch go on
+// by themselves.
+func (r *Router) sendToOrigin(req *request) {
+	r.send(req, r.origin)
+	if req.isEnded {
+		r.completeFlight(req, false)
+	}
+}
+
 // dequeueForOrigin sends queued requests to the origin until the limit on attempts in flight at the origin is reached.
 // Requests of the highest weight are sent first.
 func (r *Router) dequeueForOrigin() {
 	for r.origin != nil && r.originQueue.Len() > 0 && r.isOriginBelowLimit() {
 		next, _ := r.originQueue.Next()
 		next.isWaiting = false
-		r.send(next, r.origin)
+		r.sendToOrigin(next)
 	}
 	if r.origin != nil {
 		r.origin.gauge.hasQueue = r.originQueue.Len() > 0
--- a/internal/policy/outcome.go
+++ b/internal/policy/outcome.go
@@ -28,6 +28,9 @@
 	if ended.server == r.origin {
 		r.recordAtOrigin(ended, e)
 	}
+	if r.isOriginKind(ended.server) { // also one that has left the endpoint list since
+		r.completeFlight(req, e.Reason == Succeeded)
+	}
 	if req.isEnded || req.inFlight > 0 {
 		return
 	}
@@ -106,7 +109,7 @@
 }
 
 // recordAtOrigin records the outcome of a fetch or a write. The outcome adjusts the limit on attempts in flight at the
-// origin. Requests that wait for the fetch take their next step.
+// origin.
 func (r *Router) recordAtOrigin(ended *attempt, e Outcome) {
 	if e.Reason != NeverSent {
 		sample := admission.LatencySample{
@@ -118,7 +121,6 @@
 		gauge := &r.origin.gauge
 		r.originLimiter.Observe(r.now, sample, gauge.target, len(gauge.inFlight)+1)
 	}
-	r.completeFlight(ended.request, e.Reason == Succeeded)
 }
 
 // observeLatency records a latency sample of a server and compares the server with the others again. If the server has
