Send reads again soon after hits that were slow

Cause: policy.Router.recordHit changes fastestHit by hits alone; requestReceived rejects reads with less time, and without a read there is no hit.

Change: leastUsefulTime halves the figure for each second since the last hit.

Evidence: TestReadsAreSentAgainAfterSlowHits fails on (no_time 3 s after a hit of 2 s, for a read with 0.4 s).

Ruled out: forgetting the figure at once, which sends every hurried read of a node with rare hits to no use.

--- a/internal/policy/outcome.go
+++ b/internal/policy/outcome.go
@@ -6,6 +6,11 @@
 	"shelfproxy/internal/admission"
 )
 
+const (
+	fastestHitHalfLife = time.Second
+	maxHalvings        = 62 // halves any duration to 0
+)
+
 // idleCostUnit is the number of idle connections at each server that together cost Settings.ConnectionCost.
 const idleCostUnit = 100
 
@@ -104,10 +109,18 @@
 	if r.fastestHit == 0 || e.Took < r.fastestHit {
 		r.fastestHit = e.Took
 	}
+	r.lastHitAt = r.now
 	r.servedTotal += r.requestWeight / max(1, r.activeServers)
 	countHitAfterRestart(srv)
 }
 
+// leastUsefulTime returns the time that a read needs at least to be answered by a cache server. It is the latency of
+// the fastest recent hits, halved for each fastestHitHalfLife since the last hit. If it kept back all reads, no hit
+// could ever show that the cache servers are faster again.
+func (r *Router) leastUsefulTime() time.Duration {
+	return r.fastestHit >> min((r.now-r.lastHitAt)/fastestHitHalfLife, maxHalvings)
+}
+
 // recordAtOrigin records the outcome of a fetch or a write. The outcome adjusts the limit on attempts in flight at the
 // origin.
 func (r *Router) recordAtOrigin(ended *attempt, e Outcome) {
--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -59,7 +59,7 @@
 	switch {
 	case r.shedsForLoad(req):
 		r.reject(req, CauseNodeBehind)
-	case !e.Write && e.Deadline-r.now < r.fastestHit:
+	case !e.Write && e.Deadline-r.now < r.leastUsefulTime():
 		r.reject(req, CauseNoTime)
 	default:
 		r.advance(req)
--- a/internal/policy/request_test.go
+++ b/internal/policy/request_test.go
@@ -139,3 +139,23 @@
 		t.Error("a few slow answers count as the fastest")
 	}
 }
+
+// TestReadsAreSentAgainAfterSlowHits guards against reads that are refused for ever: all hits were slow once, and since
+// then no client has had as much time, so that no read is sent that could show that the cache servers are fast again.
+func TestReadsAreSentAgainAfterSlowHits(t *testing.T) {
+	driver := newDriver(t, testSettings(), "s1")
+	slow, _ := driver.request("late", "k", func(request *Request) { request.Deadline = driver.now + 5*time.Second })
+	driver.now += 2 * time.Second
+	driver.endAttempt(slow, Succeeded, 2*time.Second)
+	lastHit := driver.now
+	for _, step := range []struct {
+		wait   time.Duration
+		isSent bool
+	}{{0, false}, {time.Second, false}, {time.Second, false}, {time.Second, true}} {
+		driver.now += step.wait
+		hurried := func(request *Request) { request.Deadline = driver.now + 400*ms }
+		if _, actions := driver.request("high", "k", hurried); (len(actionsOf[Send](actions)) > 0) != step.isSent {
+			t.Errorf("%v after the last hit: got %v, want the read sent: %v", driver.now-lastHit, actions, step.isSent)
+		}
+	}
+}
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -35,6 +35,7 @@
 	// requests that is to be shed at present. When the sum reaches 1, the request is shed and 1 is subtracted.
 	shedDebt   [bulk + 1]float64
 	fastestHit time.Duration // latency of the fastest recent hits, answers of cache servers; 0 before the first
+	lastHitAt  Time          // time of the last hit
 
 	// State of servers and zones.
 	servers             []*server // sorted by id
