Check a connection for stray bytes while several attempts are unwritten

Cause: upstream.Core.NextToWrite looked for bytes only while exactly one attempt was pending. A second attempt that was put on the connection before the first one was written kept it from looking; it is one more way in which an answer's place on a connection misleads.

Change: it looks as long as no attempt of the connection is written (AwaitsNoResponse, named IsSoleAttemptUnwritten before). All of them then get another connection.

Evidence: TestStaleConnectionIsNotWrittenForSeveralAttempts: with the condition of before no check, and the first attempt is written.

--- a/internal/testbed/simulation/known_faults_test.go
+++ b/internal/testbed/simulation/known_faults_test.go
@@ -32,7 +32,7 @@
 	{"deadline is too late", "internal/node/requests.go", "deadline: r.ReceivedAt.Add(max(timeout-clientTransitTime, minRequestTimeout))", "deadline: r.ReceivedAt.Add(timeout + 200*time.Millisecond)", nil, false},
 	{"connection with stray bytes is reused", "internal/upstream/transfer.go", "case conn.Decoder.Buffered() > 0 && !conn.mayReceive():", "case conn == nil:",
 		&knownFault{file: "internal/upstream/transfer.go", old: "if !conn.mayReceive() {", new: "if len(conn.pending) == 0 {",
-			also: &knownFault{file: "internal/upstream/transfer.go", old: "if isStale && conn.IsSoleAttemptUnwritten() {", new: "if conn == nil {"}}, false},
+			also: &knownFault{file: "internal/upstream/transfer.go", old: "if isStale && conn.AwaitsNoResponse() {", new: "if conn == nil {"}}, false},
 	{"attempt is put behind one that may be dropped", "internal/upstream/attribution.go", "return ahead.NeedsNewConnection || c.mayBeDropped(now, ahead)", "return false",
 		&knownFault{file: "internal/upstream/attribution.go", old: "return !c.mayBeDropped(now, conn.pending[0]) ||", new: "return conn != nil ||"}, false},
 	{"response is not held behind a dropped one", "internal/upstream/attribution.go", "return !c.mayBeDropped(now, conn.pending[0]) ||", "return conn != nil ||", nil, false},
--- a/internal/testbed/simulation/pool.go
+++ b/internal/testbed/simulation/pool.go
@@ -227,7 +227,7 @@
 func (s *poolSocket) writeNext() {
 	pool, world := s.pool, s.pool.node.world
 	var effects upstream.Effects
-	stale := s.conn.IsSoleAttemptUnwritten() && (len(s.inbox) > 0 || s.hasEnded)
+	stale := s.conn.AwaitsNoResponse() && (len(s.inbox) > 0 || s.hasEnded)
 	attempt := pool.core.NextToWrite(pool.now(), s.conn, stale, &effects)
 	pool.execute(effects)
 	if attempt == nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -45,9 +45,9 @@
 	isEvicted   bool          // the connection's descriptor was taken for another one, and the core closes the connection next
 }
 
-// IsSoleAttemptUnwritten reports whether the connection has one attempt only, which is not written yet. Bytes that can already be
-// read then are no response to any attempt.
-func (c *Conn) IsSoleAttemptUnwritten() bool { return len(c.unwritten) > 0 && len(c.pending) == 1 }
+// AwaitsNoResponse reports whether the connection has attempts, none of which is written yet. Bytes that can already be read then
+// are no response to any attempt.
+func (c *Conn) AwaitsNoResponse() bool { return len(c.unwritten) > 0 && c.written() == 0 }
 
 // InFlight returns the number of attempts that are assigned to the connection.
 func (c *Conn) InFlight() int { return len(c.pending) }
--- a/internal/upstream/core_test.go
+++ b/internal/upstream/core_test.go
@@ -71,3 +71,27 @@
 		t.Errorf("next to write on the other connection is %p, want the attempt %p", got, attempt)
 	}
 }
+
+// TestStaleConnectionIsNotWrittenForSeveralAttempts guards against a stray response that is taken for the one to a request: a second
+// attempt that was put on an idle connection before the first one was written kept the connection from being checked.
+func TestStaleConnectionIsNotWrittenForSeveralAttempts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newTestCore(testLimits(2, 1))
+	var effects Effects
+	core.Send(now, newAttempt(now), &effects)
+	stale := effects[0].Conn
+	core.DialCompleted(now, stale, true, &effects)
+	core.Send(now, newAttempt(now), &effects)
+	if got := stale.InFlight(); got != 2 {
+		t.Fatalf("%d attempts on the connection, want 2", got)
+	}
+	if !stale.AwaitsNoResponse() {
+		t.Error("the connection is not checked for stray bytes, want it checked")
+	}
+	if got := core.NextToWrite(now, stale, true, &effects); got != nil || !stale.IsClosed() {
+		t.Errorf("next to write on the stale connection is %p, closed %v; want none and closed", got, stale.IsClosed())
+	}
+	if got := core.Queued(); got != 2 {
+		t.Errorf("%d attempts wait for another connection, want 2", got)
+	}
+}
--- a/internal/upstream/socket.go
+++ b/internal/upstream/socket.go
@@ -103,7 +103,7 @@
 
 // nextToWrite returns the next attempt to write, if any, and whether the connection is still open. The caller holds mu.
 func (p *Pool) nextToWrite(conn *Conn, socket *socket, effects *Effects) (attempt *Attempt, isOpen bool) {
-	isStale := conn.IsSoleAttemptUnwritten() && socket.isStale()
+	isStale := conn.AwaitsNoResponse() && socket.isStale()
 	attempt = p.core.NextToWrite(time.Now(), conn, isStale, effects)
 	return attempt, !conn.closed
 }
--- a/internal/upstream/transfer.go
+++ b/internal/upstream/transfer.go
@@ -16,8 +16,8 @@
 	if conn.closed || conn.writing != nil || len(conn.unwritten) == 0 {
 		return nil
 	}
-	if isStale && conn.IsSoleAttemptUnwritten() {
-		c.close(now, conn, CorruptResponse, effects) // the pending attempt is unwritten and gets another connection
+	if isStale && conn.AwaitsNoResponse() {
+		c.close(now, conn, CorruptResponse, effects) // the pending attempts are unwritten and get another connection
 		return nil
 	}
 	for conn.nextUnwritten().mustNotBeWritten(now) {
