--- a/internal/listener/presence_test.go
+++ b/internal/listener/presence_test.go
@@ -46,23 +46,31 @@
 	return fmt.Sprintf("*4\r\n$9\r\nCACHE.GET\r\n$1\r\nk\r\n$%d\r\n%s\r\n$13\r\nc=read,d=3000\r\n", len(id), id)
 }
 
-// TestRequestsOfAClientThatMayHaveLeftAreNotHandedOver checks that, while more is unread than the kernel takes and the client was not
-// seen since its connection waited for a turn, commands wait for the responses before them, or the first of them is rejected, and that a written response lets the others
-// go on.
-func TestRequestsOfAClientThatMayHaveLeftAreNotHandedOver(t *testing.T) {
-	now := time.Unix(1000, 0)
-	core := newTestCore(now, coreTestLimits)
-	conn := core.Accepted(now, now)
+// newHiddenConn returns a connection whose client may have closed it unseen and has sent a request, and a function that has the core receive
+// bytes on it.
+func newHiddenConn(t *testing.T, core *Core, now *time.Time) (conn *Conn, receive func(bytes string) Effects) {
+	t.Helper()
+	conn = core.Accepted(*now, *now)
 	hidden := receiving{unread: maxVisibleUnread + 1}
 	conn.presence.look = func() receiving { return hidden }
-	receive := func(bytes string) (effects Effects) {
-		conn.presence.observed(now, hidden)
-		core.BytesReceived(now, conn, copy(conn.ReadBuffer(), bytes), &effects)
+	receive = func(bytes string) (effects Effects) {
+		conn.presence.observed(*now, hidden)
+		core.BytesReceived(*now, conn, copy(conn.ReadBuffer(), bytes), &effects)
 		return effects
 	}
 	if effects := receive(readCommand("first")); !hasEffect(effects, HandleRequest, conn) {
 		t.Fatalf("got effects %+v, want the request of a new client handed over", effects)
 	}
+	return conn, receive
+}
+
+// TestRequestsOfAClientThatMayHaveLeftAreNotHandedOver checks that, while more is unread than the kernel takes and the client was not
+// seen since its connection waited for a turn, commands wait for the responses before them, or the first of them is rejected, and that a written response lets the others
+// go on.
+func TestRequestsOfAClientThatMayHaveLeftAreNotHandedOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := newTestCore(now, coreTestLimits)
+	conn, receive := newHiddenConn(t, core, &now)
 	first := conn.slots[0]
 	now = now.Add(maxUnseen + 1)
 	conn.presence.hasWaited.Store(true)
@@ -182,17 +190,7 @@
 			limits := coreTestLimits
 			limits.MaxPipelined = 8
 			core := newTestCore(now, limits)
-			conn := core.Accepted(now, now)
-			hidden := receiving{unread: maxVisibleUnread + 1}
-			conn.presence.look = func() receiving { return hidden }
-			receive := func(bytes string) (effects Effects) {
-				conn.presence.observed(now, hidden)
-				core.BytesReceived(now, conn, copy(conn.ReadBuffer(), bytes), &effects)
-				return effects
-			}
-			if effects := receive(readCommand("first")); !hasEffect(effects, HandleRequest, conn) {
-				t.Fatalf("got effects %+v, want the request of a new client handed over", effects)
-			}
+			conn, receive := newHiddenConn(t, core, &now)
 			now = now.Add(maxUnseen + 1)
 			if effects := receive(readCommand("second") + readCommand("third")); hasEffect(effects, HandleRequest, conn) || conn.IsPaused() {
 				t.Fatalf("got effects %+v and paused %v, want the requests read and withheld", effects, conn.IsPaused())
