Count no response that was never written as a sign of a client

What callers might see: a client that waits to be accepted, sends much and closes has its requests begun for 50 ms after the accept, however long ago it closed.

Cause:. presence.responseTaken took the time 0 of a response that was never written for the moment of the accept, and a connection that waited to be accepted was last seen before that.

Change: 0 means that there was none.

Evidence: TestWrittenResponseIsASignOnceItIsTaken has a client that waited for a second now, and fails without the change.

--- a/internal/listener/presence.go
+++ b/internal/listener/presence.go
@@ -31,7 +31,7 @@
 	start  time.Time    // when the connection was accepted
 	seenAt atomic.Int64 // nanoseconds from start to the last sign that the client is there, or back to one before start
 	// answeredAt is when the write of the last response began while a close may have been hidden, in nanoseconds from start. It becomes a
-	// sign once the client's kernel has taken the response.
+	// sign once the client's kernel has taken the response. 0 means that there was none.
 	answeredAt atomic.Int64
 	// mayHideClose says that the client may have closed the connection although the kernel does not know of it. Once much was unread it
 	// stays set while bytes may still be on their way: the kernel offers a window again in large steps, so that little may be unread, or
@@ -67,7 +67,7 @@
 // responseTaken records that the client's kernel has taken the last response: a client that has closed resets the connection instead.
 func (p *presence) responseTaken(state receiving) {
 	answeredAt := p.answeredAt.Load()
-	if answeredAt <= p.seenAt.Load() {
+	if answeredAt == 0 || answeredAt <= p.seenAt.Load() {
 		return
 	}
 	p.seen(p.start.Add(time.Duration(answeredAt)))
--- a/internal/listener/presence_test.go
+++ b/internal/listener/presence_test.go
@@ -148,6 +148,10 @@
 	} {
 		known := presence{start: start, look: func() receiving { return test.state }}
 		known.mayHideClose.Store(true)
+		known.seen(start.Add(-time.Second)) // it waited to be accepted
+		if isThere, _ := known.isThere(start); isThere {
+			t.Errorf("%s: the client counts as there as it is accepted, want it unknown: it waited for long", test.name)
+		}
 		if isThere, _ := known.isThere(now); isThere {
 			t.Errorf("%s: the client counts as there before a response, want it unknown", test.name)
 		}
